--- a/acaciaring_core/examples/fold_cost.rs
+++ b/acaciaring_core/examples/fold_cost.rs
@@ -68,7 +68,7 @@
 fn row(members: usize, slots: usize) -> [String; 14] {
     let before = resident();
     let mut bench = Bench::new(members, slots);
-    let assign = bench.fold(Body::Assign(Assign { workspace: WORKSPACE.to_owned() }));
+    let assign = bench.fold(Body::Assign(Assign { workspace: WORKSPACE.to_owned(), slots: 0 }));
     let memory = resident().saturating_sub(before);
     let join = median(|_| bench.join_and_exit());
     let attach = median(|_| bench.attach_and_exit());
@@ -234,12 +234,13 @@
         rack: format!("rack-{}", index % 7),
         peer: "10.0.0.1:7000".to_owned(),
         http: "10.0.0.1:8080".to_owned(),
+        fingerprint: vec![7; 32],
     })
 }
 
 fn attach(member: u64) -> Body {
     let (workspace, upstream) = (WORKSPACE.to_owned(), "10.0.0.1:9000".to_owned());
-    Body::Attach(Attach { member, workspace, upstream, fenced: true })
+    Body::Attach(Attach { member, workspace, upstream, fenced: true, ..Attach::default() })
 }
 
 fn template(base: u64, rank: &str) -> Body {
--- /dev/null
+++ b/acaciaring_core/src/holds.rs
@@ -0,0 +1,333 @@
+//! What an upstream holds by grant: it runs a request only while it holds the request's unit.
+//!
+//! The upstream reports what it holds, and each reply says all that it is to hold and for how
+//! long. A unit may pass to another member only once its upstream surely holds it no more.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use crate::id::{Name, Token, UnitId};
+use crate::time::Time;
+
+/// Time after which a reply that the upstream has not taken has no effect any more.
+///
+/// An upstream takes a reply within a second of its report or not at all; the rest is for the way.
+const REPLY_LIFE: Duration = Duration::from_millis(1100);
+
+/// Time from a reply until the upstream acts on what it was newly given.
+const EFFECT: Duration = Duration::from_millis(4);
+
+/// Part of its own time by which the clock of the upstream may run slow, with a reserve.
+const DRIFT: f64 = 0.03;
+
+/// Shortest time for which a grant is worth its reply.
+const LEAST: Duration = Duration::from_millis(100);
+
+/// Former instances that are remembered.
+const FORMER: usize = 32;
+
+/// Range of keys that an upstream holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// Token under which it holds them.
+    pub token: Token,
+}
+
+/// Range of keys that an upstream has released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Freed {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// What the next holder needs to go on without warming up.
+    pub handover: Name,
+}
+
+/// Range of keys that an upstream is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Granted {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// Token.
+    pub token: Token,
+    /// What the last holder gave out, empty when it gave nothing or has no longer to be told.
+    pub handover: Name,
+}
+
+/// Unit that the upstream is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wanted {
+    /// Unit.
+    pub unit: UnitId,
+    /// Token under which this member serves it.
+    pub token: Token,
+    /// Its keys.
+    pub keys: Vec<RangeInclusive<u32>>,
+    /// What the last holder gave out.
+    pub handover: Name,
+}
+
+/// What became of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Report {
+    /// It is the newest of the present upstream.
+    Newest,
+    /// It is the first of another start of the upstream.
+    Another,
+    /// It was sent before one that came earlier, or by an upstream that has gone.
+    Late,
+}
+
+/// Unit that the upstream may hold.
+#[derive(Debug, Clone)]
+struct Given {
+    token: Token,
+    keys: Vec<RangeInclusive<u32>>,
+    /// When the upstream acts on it.
+    effect: Time,
+    /// When a reply last contained it.
+    latest: Time,
+    /// True while the last reply contained it.
+    present: bool,
+}
+
+/// What the upstream beside this member holds.
+#[derive(Debug, Clone)]
+pub struct Holds {
+    /// Longest time for which a grant is given.
+    hold: Duration,
+    instance: Option<Name>,
+    sequence: u64,
+    former: Vec<Name>,
+    reported: Vec<Held>,
+    given: BTreeMap<UnitId, Given>,
+    freed: Vec<Freed>,
+    /// Time from which nothing is held that is not given anew.
+    until: Time,
+}
+
+impl Holds {
+    /// Makes a record of an upstream of which nothing is known.
+    ///
+    /// It may hold what a former process has given, for as long as any grant lasts.
+    #[must_use]
+    pub fn new(now: Time, hold: Duration) -> Self {
+        Self {
+            hold,
+            instance: None,
+            sequence: 0,
+            former: Vec::new(),
+            reported: Vec::new(),
+            given: BTreeMap::new(),
+            freed: Vec::new(),
+            until: now + hold.mul_f64(1.0 + DRIFT),
+        }
+    }
+
+    /// Returns the present start of the upstream.
+    #[must_use]
+    pub fn instance(&self) -> Option<&Name> {
+        self.instance.as_ref()
+    }
+
+    /// Takes in a report.
+    ///
+    /// Guards against a report that is delayed until its sender has gone and another one
+    /// reports from the same address: instances that were replaced are remembered.
+    pub fn report(
+        &mut self,
+        now: Time,
+        instance: &Name,
+        sequence: u64,
+        held: Vec<Held>,
+        freed: Vec<Freed>,
+    ) -> Report {
+        let same = self.instance.as_ref() == Some(instance);
+        if self.former.contains(instance) || (same && sequence <= self.sequence) {
+            return Report::Late;
+        }
+        let report = if same || self.instance.is_none() { Report::Newest } else { Report::Another };
+        if report == Report::Another {
+            self.replaced();
+        }
+        self.instance = Some(Name::clone(instance));
+        self.sequence = sequence;
+        self.reported = held;
+        self.freed.extend(freed);
+        if !self.reported.is_empty() && self.given.is_empty() {
+            // Given by a former process; its grants last no longer than any of this one.
+            self.until = self.until.max(now + self.hold.mul_f64(1.0 + DRIFT));
+        }
+        self.settle(now);
+        report
+    }
+
+    /// Notes that the upstream has gone: the start that has reported holds nothing any more.
+    pub fn gone(&mut self) {
+        self.replaced();
+        self.instance = None;
+        self.sequence = 0;
+    }
+
+    fn replaced(&mut self) {
+        if let Some(former) = self.instance.take() {
+            self.former.push(former);
+            if self.former.len() > FORMER {
+                self.former.remove(0);
+            }
+        }
+        self.reported.clear();
+        self.given.clear();
+        self.freed.clear();
+    }
+
+    /// Decides what the upstream is to hold, at most `room` ranges; `None` renews nothing.
+    ///
+    /// What it holds already goes before what is new, so that a lack of room moves nothing to
+    /// and fro. The grant ends with the lease of this member, on a slow clock of the upstream too.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        lease: Time,
+        wanted: &[Wanted],
+        room: usize,
+    ) -> Option<(Vec<Granted>, Duration)> {
+        let hold = lease.since(now).mul_f64(1.0 / (1.0 + DRIFT)).min(self.hold);
+        if hold < LEAST {
+            return None;
+        }
+        for given in self.given.values_mut() {
+            given.present = false;
+        }
+        let known = |wanted: &&Wanted| self.given.contains_key(&wanted.unit);
+        let (old, new): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(known);
+        let mut rows = Vec::new();
+        for unit in old.into_iter().chain(new) {
+            if rows.len() + unit.keys.len() > room {
+                continue;
+            }
+            let row = |keys: &RangeInclusive<u32>| Granted {
+                first: *keys.start(),
+                last: *keys.end(),
+                token: unit.token,
+                handover: Name::clone(&unit.handover),
+            };
+            rows.extend(unit.keys.iter().map(row));
+            self.give(now, unit);
+        }
+        self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
+        Some((merge(rows), hold))
+    }
+
+    fn give(&mut self, now: Time, wanted: &Wanted) {
+        let held = self.is_reported(&wanted.keys, wanted.token);
+        let effect = if held { now } else { now + EFFECT };
+        let given = self.given.entry(wanted.unit).or_insert(Given {
+            token: wanted.token,
+            keys: wanted.keys.clone(),
+            effect,
+            latest: now,
+            present: true,
+        });
+        if given.token != wanted.token || given.keys != wanted.keys {
+            given.effect = effect;
+        }
+        given.token = wanted.token;
+        given.keys.clone_from(&wanted.keys);
+        given.latest = now;
+        given.present = true;
+    }
+
+    /// Returns true while the upstream runs requests for a unit under a token.
+    #[must_use]
+    pub fn serves(&self, now: Time, unit: UnitId, token: Token) -> bool {
+        let given = self.given.get(&unit);
+        given.is_some_and(|given| given.present && given.token == token && now >= given.effect)
+    }
+
+    /// Returns when the next grant takes effect, none when all have.
+    #[must_use]
+    pub fn next_effect(&self, now: Time) -> Option<Time> {
+        self.given.values().map(|given| given.effect).filter(|effect| now < *effect).min()
+    }
+
+    /// Returns true while the upstream may hold keys of a unit, by grants of this process or a former one.
+    #[must_use]
+    pub fn may_hold(&self, now: Time, unit: UnitId, keys: &[RangeInclusive<u32>]) -> bool {
+        if now >= self.until {
+            return false;
+        }
+        let unknown = self.instance.is_none() && self.former.is_empty();
+        let reported = self.reported.iter().any(|held| keys.iter().any(|k| meets(k, held)));
+        unknown || reported || self.given.contains_key(&unit)
+    }
+
+    /// Returns what the upstream gave out when it released keys, empty when it gave nothing.
+    #[must_use]
+    pub fn handover(&self, keys: &[RangeInclusive<u32>]) -> Name {
+        let covers = |freed: &&Freed| {
+            keys.iter().all(|keys| freed.first <= *keys.start() && *keys.end() <= freed.last)
+        };
+        let freed = self.freed.iter().rev().find(covers);
+        freed.map_or_else(|| Name::from(""), |freed| Name::clone(&freed.handover))
+    }
+
+    /// Forgets units that the upstream has released, or never took.
+    fn settle(&mut self, now: Time) {
+        let (reported, freed) = (&self.reported, &self.freed);
+        self.given.retain(|_, given| {
+            let held = reported.iter().any(|held| given.keys.iter().any(|keys| meets(keys, held)));
+            let released = freed.iter().any(|freed| {
+                given.keys.iter().all(|k| freed.first <= *k.start() && *k.end() <= freed.last)
+            });
+            let taken = now.since(given.latest) < REPLY_LIFE;
+            held || given.present || (taken && !released)
+        });
+        // What is held again was not released for good.
+        self.freed.retain(|freed| {
+            let keys = freed.first..=freed.last;
+            !reported.iter().any(|held| meets(&keys, held))
+        });
+        const KEPT: usize = 1024;
+        let excess = self.freed.len().saturating_sub(KEPT);
+        self.freed.drain(..excess);
+    }
+
+    fn is_reported(&self, keys: &[RangeInclusive<u32>], token: Token) -> bool {
+        keys.iter().all(|keys| {
+            let covers = |held: &&Held| held.first <= *keys.start() && *keys.end() <= held.last;
+            self.reported.iter().any(|held| covers(&held) && held.token == token)
+        })
+    }
+}
+
+fn meets(keys: &RangeInclusive<u32>, held: &Held) -> bool {
+    held.first <= *keys.end() && *keys.start() <= held.last
+}
+
+/// Joins neighbouring ranges that were given alike.
+fn merge(mut rows: Vec<Granted>) -> Vec<Granted> {
+    rows.sort_unstable_by_key(|row| row.first);
+    let mut merged: Vec<Granted> = Vec::with_capacity(rows.len());
+    for row in rows {
+        match merged.last_mut() {
+            Some(last)
+                if last.last + 1 == row.first
+                    && last.token == row.token
+                    && last.handover == row.handover =>
+            {
+                last.last = row.last;
+            }
+            _ => merged.push(row),
+        }
+    }
+    merged
+}
--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choice;
 pub mod dedup;
 pub mod heat;
+pub mod holds;
 mod id;
 pub mod lease;
 pub mod retry;
--- a/acaciaring_core/src/route/build.rs
+++ b/acaciaring_core/src/route/build.rs
@@ -81,6 +81,7 @@
         classes,
         weights,
         body,
+        parts: Vec::new(),
     })
 }
 
@@ -152,6 +153,8 @@
         rank: rank?,
         repeat: repeat?,
         deadline: deadline?,
+        tries: 0,
+        single: false,
     })
 }
 
--- a/acaciaring_core/src/route/lookup.rs
+++ b/acaciaring_core/src/route/lookup.rs
@@ -6,6 +6,7 @@
 use super::path::{decode, is_regular, path_of, query_of, segments, strip_prefix};
 use super::{Class, Division, KeySource, Route};
 use crate::id::{KeyHash, Name};
+use crate::state::NUMBERS;
 
 /// Routes of one host name by their prefix.
 type Prefixes = HashMap<Name, Arc<Route>>;
@@ -59,7 +60,8 @@
     }
 
     fn longest<'a>(&self, prefixes: &'a Prefixes, path: &str) -> Option<&'a Arc<Route>> {
-        let borders = path.rmatch_indices('/').map(|(index, _)| index);
+        // A prefix that ends with a slash matches what is below it only.
+        let borders = path.rmatch_indices('/').flat_map(|(index, _)| [index + 1, index]);
         let mut ends = std::iter::once(path.len()).chain(borders);
         ends.find_map(|end| if end <= self.longest { prefixes.get(&path[..end]) } else { None })
     }
@@ -99,6 +101,7 @@
         let key = match source {
             KeySource::Segment(index) => self.segment_key(target, *index),
             KeySource::Header(name) => header_key(headers, name),
+            KeySource::Number(name) => return number_key(headers, name),
             KeySource::Query(name) => query_key(target, name),
         };
         key.filter(|key| !key.is_empty()).map(|key| KeyHash::of(&key))
@@ -138,6 +141,16 @@
     only(own.map(|(_, value)| value.trim_ascii().to_vec()))
 }
 
+/// Returns the key whose number a header states.
+fn number_key<'a>(
+    headers: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+    name: &str,
+) -> Option<KeyHash> {
+    let text = String::from_utf8(header_key(headers, name)?).ok()?;
+    let number: u32 = text.parse().ok()?;
+    (number < NUMBERS).then(|| KeyHash(number.into()))
+}
+
 fn query_key(target: &str, name: &str) -> Option<Vec<u8>> {
     let pairs = query_of(target).split('&');
     let own = pairs.filter_map(|pair| {
--- a/acaciaring_core/src/route/mod.rs
+++ b/acaciaring_core/src/route/mod.rs
@@ -10,6 +10,7 @@
 mod reader;
 mod value;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 pub use self::build::build;
@@ -43,6 +44,8 @@
     Header(Name),
     /// Query parameter.
     Query(Name),
+    /// Header, in lower case, whose value is the key's number below [`NUMBERS`](crate::state::NUMBERS).
+    Number(Name),
 }
 
 /// Rank of a class of requests, most important first.
@@ -82,6 +85,10 @@
     pub repeat: Repeat,
     /// Time for the whole answer when the caller names none.
     pub deadline: Duration,
+    /// Upstreams to which one request may be sent at most; 0 leaves it to the settings.
+    pub tries: u32,
+    /// True when a request's identity is never used again, so that nobody need remember it.
+    pub single: bool,
 }
 
 /// A tenant's weights for moving units.
@@ -112,6 +119,8 @@
     pub weights: Weights,
     /// Largest body in bytes.
     pub body: u64,
+    /// Where the route is shared out: each part's weight, and the route by which it is served.
+    pub parts: Vec<(u32, Arc<Route>)>,
 }
 
 impl Class {
--- a/acaciaring_core/src/state/assignment.rs
+++ b/acaciaring_core/src/state/assignment.rs
@@ -1,6 +1,7 @@
 //! Assignments of slots and hot keys.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
 use crate::id::{KeyHash, MemberId, Name, Offset, Slot, UnitId};
 
@@ -37,8 +38,13 @@
     pub slots: Vec<Assignment>,
     /// Hot keys, each with its own assignment.
     pub hot: BTreeMap<KeyHash, HotKey>,
+    /// True when an assignment made the service: its keys are numbers, and each slot has a range of them.
+    pub founded: bool,
 }
 
+/// Count of the numbers that are keys of a founded service.
+pub const NUMBERS: u32 = 1 << 16;
+
 impl Service {
     /// Returns the unit that covers a key: the hot key itself or its slot.
     ///
@@ -49,7 +55,35 @@
     pub fn unit_of(&self, key: KeyHash) -> UnitId {
         let count = u32::try_from(self.slots.len()).expect("slots are counted by a u32");
         let hot = self.hot.contains_key(&key);
-        UnitId { slot: key.slot(count), key: hot.then_some(key) }
+        let slot = if self.founded { slot_of_number(key, count) } else { key.slot(count) };
+        UnitId { slot, key: hot.then_some(key) }
+    }
+
+    /// Returns the keys of a unit of a founded service, without the hot keys in its slot; in order.
+    #[must_use]
+    pub fn numbers(&self, unit: UnitId) -> Vec<RangeInclusive<u32>> {
+        if let Some(key) = unit.key {
+            return u32::try_from(key.0).map(|number| number..=number).into_iter().collect();
+        }
+        let count = u64::try_from(self.slots.len()).unwrap_or(u64::MAX).max(1);
+        let first = |slot: u64| {
+            let first = (slot * u64::from(NUMBERS)).div_ceil(count);
+            u32::try_from(first).unwrap_or(NUMBERS)
+        };
+        let slot = u64::from(unit.slot);
+        let (mut start, end) = (first(slot), first(slot + 1));
+        let mut ranges = Vec::new();
+        let hot = self.hot.iter().filter(|(_, hot)| hot.slot == unit.slot);
+        for number in hot.filter_map(|(key, _)| u32::try_from(key.0).ok()) {
+            if start < number {
+                ranges.push(start..=number - 1);
+            }
+            start = number + 1;
+        }
+        if start < end {
+            ranges.push(start..=end - 1);
+        }
+        ranges
     }
 
     /// Returns the assignment of a unit.
@@ -78,3 +112,10 @@
         slots.chain(hot)
     }
 }
+
+/// Returns the slot of a key that is a number: slots have ranges of the same length.
+fn slot_of_number(key: KeyHash, slots: u32) -> Slot {
+    let number = key.0.min(u64::from(NUMBERS) - 1);
+    let slot = number * u64::from(slots) / u64::from(NUMBERS);
+    Slot::try_from(slot).unwrap_or(0)
+}
--- a/acaciaring_core/src/state/member.rs
+++ b/acaciaring_core/src/state/member.rs
@@ -22,6 +22,8 @@
     pub upstream: Name,
     /// True when the upstream checks fences.
     pub fenced: bool,
+    /// Identity of this start of the upstream, empty where it names none.
+    pub instance: Name,
 }
 
 /// One process, from its start to its end.
@@ -43,6 +45,8 @@
     pub peer: Name,
     /// Address for callers.
     pub http: Name,
+    /// SHA-256 of the certificate that the process made for itself, empty with an authority.
+    pub fingerprint: Vec<u8>,
     /// What the member's upstream serves.
     pub attachment: Option<Attachment>,
     /// Offset of the record that set the lessors.
--- a/acaciaring_core/src/state/members.rs
+++ b/acaciaring_core/src/state/members.rs
@@ -22,6 +22,7 @@
             rack: join.rack.as_str().into(),
             peer: join.peer.as_str().into(),
             http: join.http.as_str().into(),
+            fingerprint: join.fingerprint.clone(),
             attachment: None,
             version: offset,
             lessors: Vec::new(),
@@ -38,6 +39,7 @@
             workspace: attach.workspace.as_str().into(),
             upstream: attach.upstream.as_str().into(),
             fenced: attach.fenced,
+            instance: attach.instance.as_str().into(),
         };
         let Some(member) = self.members.get_mut(&id) else { return Err(unknown(id)) };
         let elsewhere =
@@ -48,10 +50,44 @@
         let workspace = Name::clone(&attachment.workspace);
         member.attachment = Some(attachment);
         self.counts.attach(member);
+        self.resume(offset, id);
         self.fill_standbys(offset, id, &workspace);
         Ok(())
     }
 
+    /// Puts a member in the place of the former one beside the same start of the same upstream.
+    ///
+    /// Guards against a process that is killed beside an upstream that lives on: each restart
+    /// would wait until the former identity is proved expired, and then move all its keys, cold,
+    /// to other upstreams. The upstream reaches one process only, so the former one has ended;
+    /// what it was to release, the later one releases.
+    fn resume(&mut self, offset: Offset, id: MemberId) {
+        let Some(former) = self.former(id) else { return };
+        let Some(member) = self.members.get_mut(&former) else { return };
+        member.phase = Phase::Dead;
+        self.counts.release(&member.lessors);
+        self.counts.detach(member);
+        member.attachment = None;
+        self.replace(offset, former, id);
+        self.dead.push_back(former);
+        self.forget();
+    }
+
+    /// Returns the latest earlier member that is not dead on the same VM, address and start of the upstream.
+    fn former(&self, id: MemberId) -> Option<MemberId> {
+        let member = self.members.get(&id)?;
+        let attachment = member.attachment.as_ref().filter(|own| !own.instance.is_empty())?;
+        let earlier = self.members.range(..id).map(|(_, earlier)| earlier);
+        let mut same = earlier.filter(|earlier| {
+            let beside = earlier.attachment.as_ref().is_some_and(|a| {
+                a.instance == attachment.instance && a.workspace == attachment.workspace
+            });
+            let place = earlier.vm == member.vm && earlier.peer == member.peer;
+            beside && place && earlier.phase != Phase::Dead
+        });
+        same.next_back().map(|former| former.id)
+    }
+
     pub(super) fn detach(&mut self, offset: Offset, detach: log::Detach) -> Result<(), Rejection> {
         let id = self.present(detach.member)?;
         let count = self.counts.owned(id);
--- a/acaciaring_core/src/state/mod.rs
+++ b/acaciaring_core/src/state/mod.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-pub use self::assignment::{Assignment, HotKey, Service};
+pub use self::assignment::{Assignment, HotKey, NUMBERS, Service};
 use self::counts::Counts;
 pub use self::documents::Published;
 pub use self::lessors::LESSORS_MAX;
@@ -75,12 +75,17 @@
     /// Returns the assignments of a workspace whose service is divided by key.
     #[must_use]
     pub fn service(&self, workspace: &str) -> Option<&Service> {
-        self.services.get(workspace).filter(|_| self.routes.contains_key(workspace))
+        self.services.get(workspace).filter(|service| self.shows(service))
     }
 
     /// Returns the assignments of all workspaces.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.services.values().filter(|service| self.routes.contains_key(&service.workspace))
+        self.services.values().filter(|service| self.shows(service))
+    }
+
+    /// Returns true for a service that has a route in force, or needs none in the log.
+    fn shows(&self, service: &Service) -> bool {
+        service.founded || self.routes.contains_key(&service.workspace)
     }
 
     /// Returns a document, also a retired one.
--- a/acaciaring_core/src/state/snapshot/decode.rs
+++ b/acaciaring_core/src/state/snapshot/decode.rs
@@ -186,6 +186,7 @@
         workspace: attach.workspace.as_str().into(),
         upstream: attach.upstream.as_str().into(),
         fenced: attach.fenced,
+        instance: attach.instance.as_str().into(),
     });
     let valid = |attachment: &Attachment| !attachment.workspace.is_empty() && phase != Phase::Dead;
     if !attachment.as_ref().is_none_or(valid) {
@@ -200,6 +201,7 @@
         rack: join.rack.as_str().into(),
         peer: join.peer.as_str().into(),
         http: join.http.as_str().into(),
+        fingerprint: join.fingerprint.clone(),
         attachment,
         version: wire.version,
         lessors,
@@ -212,6 +214,7 @@
         workspace: wire.workspace.as_str().into(),
         slots: wire.slots.iter().map(assignment).collect(),
         hot: BTreeMap::new(),
+        founded: wire.founded,
     };
     let sized = !service.slots.is_empty() && u32::try_from(service.slots.len()).is_ok();
     if !sized || wire.hot.len() > HOT_MAX {
--- a/acaciaring_core/src/state/snapshot/encode.rs
+++ b/acaciaring_core/src/state/snapshot/encode.rs
@@ -58,12 +58,14 @@
         rack: member.rack.to_string(),
         peer: member.peer.to_string(),
         http: member.http.to_string(),
+        fingerprint: member.fingerprint.clone(),
     };
     let attach = member.attachment.as_ref().map(|attachment| log::Attach {
         member: member.id.0,
         workspace: attachment.workspace.to_string(),
         upstream: attachment.upstream.to_string(),
         fenced: attachment.fenced,
+        instance: attachment.instance.to_string(),
     });
     let phase = match member.phase {
         Phase::Alive => wire::MemberPhase::Alive,
@@ -90,6 +92,7 @@
         workspace: service.workspace.to_string(),
         slots: service.slots.iter().map(assignment).collect(),
         hot: hot.collect(),
+        founded: service.founded,
     }
 }
 
--- a/acaciaring_core/src/state/succession.rs
+++ b/acaciaring_core/src/state/succession.rs
@@ -38,6 +38,31 @@
         }
     }
 
+    /// Gives all roles of a former member to the later one in its place.
+    ///
+    /// Tokens stay: the keys are with the same start of the same upstream.
+    pub(super) fn replace(&mut self, offset: Offset, former: MemberId, later: MemberId) {
+        for service in self.services.values_mut() {
+            for place in assignments(service) {
+                let Assignment { owner, standby, prior, .. } = *place;
+                if ![owner, standby, prior].contains(&Some(former)) {
+                    continue;
+                }
+                let swap = |id: Option<MemberId>| if id == Some(former) { Some(later) } else { id };
+                let next = Assignment {
+                    owner: swap(owner),
+                    standby: swap(standby),
+                    prior: swap(prior),
+                    version: offset,
+                    ..*place
+                };
+                self.counts.remove(place);
+                self.counts.add(&next);
+                *place = next;
+            }
+        }
+    }
+
     /// Makes a newcomer the standby of each unit that has an owner but no standby.
     pub(super) fn fill_standbys(&mut self, offset: Offset, newcomer: MemberId, workspace: &str) {
         let Some(service) = self.services.get_mut(workspace) else { return };
--- a/acaciaring_core/src/state/units.rs
+++ b/acaciaring_core/src/state/units.rs
@@ -1,12 +1,12 @@
 //! Records about units: assign, switchover, handoff, split and merge.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use acaciaring_schema::log;
 
 use super::standby::Picker;
 use super::succession::assignments;
-use super::{Assignment, HotKey, Member, Rejection, Service, State};
+use super::{Assignment, HotKey, Member, NUMBERS, Rejection, Service, State};
 use crate::id::{KeyHash, MemberId, Name, Offset, UnitId};
 
 /// Most hot keys of one service.
@@ -14,6 +14,7 @@
 
 impl State {
     pub(super) fn assign(&mut self, offset: Offset, assign: &log::Assign) -> Result<(), Rejection> {
+        self.found(&assign.workspace, assign.slots)?;
         let service = self.in_force(&assign.workspace)?;
         if service.units().all(|(_, a)| a.owner.is_some()) {
             return Err(Rejection::Assigned);
@@ -43,6 +44,28 @@
         Ok(())
     }
 
+    /// Makes a service whose keys are numbers, if the record divides it and none is there.
+    ///
+    /// Nothing is made for a record that is rejected: a service without a candidate stays unknown.
+    fn found(&mut self, workspace: &str, slots: u32) -> Result<(), Rejection> {
+        if slots == 0 || self.services.contains_key(workspace) {
+            return Ok(());
+        }
+        let count = usize::try_from(slots).unwrap_or(usize::MAX);
+        let candidate = self.members_of(workspace).any(|member| !member.lessors.is_empty());
+        if workspace.is_empty() || slots > NUMBERS || !candidate {
+            return Err(Rejection::NoCandidate);
+        }
+        let service = Service {
+            workspace: Name::from(workspace),
+            slots: vec![Assignment::default(); count],
+            hot: BTreeMap::new(),
+            founded: true,
+        };
+        self.services.insert(Name::clone(&service.workspace), service);
+        Ok(())
+    }
+
     pub(super) fn switch_over(
         &mut self,
         offset: Offset,
--- a/acaciaring_core/tests/fold/documents.rs
+++ b/acaciaring_core/tests/fold/documents.rs
@@ -117,7 +117,7 @@
     let owners = log.service().clone();
     let base = log.state.document(Parameters, CONTRACTS).expect("published").version;
     let base = log.applied(retire(DocumentKind::Parameters, CONTRACTS, base));
-    let assign = Body::Assign(Assign { workspace: CONTRACTS.to_owned() });
+    let assign = Body::Assign(Assign { workspace: CONTRACTS.to_owned(), slots: 0 });
     let gone = Rejection::UnknownService { workspace: CONTRACTS.into() };
     assert_eq!(log.rejected(assign.clone()), gone);
     assert!(faulty(log.rejected(parameters(CONTRACTS, "contracts", 32, base))));
--- a/acaciaring_core/tests/fold/properties.rs
+++ b/acaciaring_core/tests/fold/properties.rs
@@ -51,7 +51,7 @@
         0..=4 => join(one % 5),
         5..=9 => attach(pick(one)?),
         10 => Body::Detach(Detach { member: pick(one)?.0 }),
-        11..=13 => Body::Assign(Assign { workspace }),
+        11..=13 => Body::Assign(Assign { workspace, slots: 0 }),
         14..=17 => {
             let (unit, assignment) = unit()?;
             let member = wire(assignment.owner);
--- a/acaciaring_core/tests/fold/support.rs
+++ b/acaciaring_core/tests/fold/support.rs
@@ -49,7 +49,7 @@
             log.attach(member);
             log.improve_lessors(member);
         }
-        log.applied(Body::Assign(Assign { workspace: CONTRACTS.to_owned() }));
+        log.applied(Body::Assign(Assign { workspace: CONTRACTS.to_owned(), slots: 0 }));
         log
     }
 
--- a/acaciaring_core/tests/fold/units.rs
+++ b/acaciaring_core/tests/fold/units.rs
@@ -73,7 +73,7 @@
     let mut log = Log::with_members(2);
     log.applied(crate::support::parameters(CONTRACTS, "contracts", 4, 0));
     let ids: Vec<_> = log.state.members().map(|member| member.id).collect();
-    let assign = Body::Assign(Assign { workspace: CONTRACTS.to_owned() });
+    let assign = Body::Assign(Assign { workspace: CONTRACTS.to_owned(), slots: 0 });
     assert_eq!(log.rejected(assign.clone()), Rejection::NoCandidate);
     // The first member has no lessors, so it can hold no lease and own nothing.
     log.attach(ids[0]);
@@ -265,7 +265,7 @@
     log.applied(Body::Exit(Exit { member: standby.0 }));
     assert_eq!((log.slot(0).owner, log.slot(0).prior), (None, Some(owner)));
     log.attach(owner);
-    log.applied(Body::Assign(Assign { workspace: CONTRACTS.to_owned() }));
+    log.applied(Body::Assign(Assign { workspace: CONTRACTS.to_owned(), slots: 0 }));
     assert_eq!((log.slot(0).owner, log.slot(0).prior), (Some(owner), None));
 }
 
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -53,6 +53,7 @@
         rack: "".into(),
         peer: "".into(),
         http: "".into(),
+        fingerprint: Vec::new(),
         attachment: None,
         version,
         lessors: lessors.to_vec(),
--- a/acaciaring_core/tests/lease_schedule.rs
+++ b/acaciaring_core/tests/lease_schedule.rs
@@ -80,6 +80,7 @@
         rack: "".into(),
         peer: "".into(),
         http: "".into(),
+        fingerprint: Vec::new(),
         attachment: None,
         version,
         lessors,
--- a/acaciaring_core/tests/support/fleet.rs
+++ b/acaciaring_core/tests/support/fleet.rs
@@ -109,6 +109,7 @@
             workspace: "test".into(),
             slots: vec![Assignment::default(); shape.slots as usize],
             hot: BTreeMap::new(),
+            founded: false,
         };
         let mut fleet = Self {
             popularity: popularity.collect(),
--- a/acaciaring_model/src/lease/mod.rs
+++ b/acaciaring_model/src/lease/mod.rs
@@ -299,6 +299,7 @@
         rack: "".into(),
         peer: "".into(),
         http: "".into(),
+        fingerprint: Vec::new(),
         attachment: None,
         version,
         lessors,
--- a/acaciaring_model/src/records.rs
+++ b/acaciaring_model/src/records.rs
@@ -81,6 +81,7 @@
         rack: String::new(),
         peer: format!("127.0.0.1:{}", 7000 + number),
         http: format!("127.0.0.1:{}", 8000 + number),
+        fingerprint: Vec::new(),
     })
 }
 
@@ -100,13 +101,14 @@
         workspace: WORKSPACE.to_owned(),
         upstream,
         fenced: true,
+        instance: String::new(),
     })
 }
 
 /// First assignment.
 #[must_use]
 pub fn assign() -> Body {
-    Body::Assign(Assign { workspace: WORKSPACE.to_owned() })
+    Body::Assign(Assign { workspace: WORKSPACE.to_owned(), slots: 0 })
 }
 
 fn slot(version: Offset) -> Vec<Unit> {
--- a/acaciaringd/examples/hop.rs
+++ b/acaciaringd/examples/hop.rs
@@ -56,7 +56,7 @@
         let mut failed = 0;
         while start.elapsed() < ROW {
             let sent = Instant::now();
-            let outcome = client.transport.request(to, request([7; BODY]), LEFT);
+            let outcome = client.transport.blocking_request(to, request([7; BODY]), LEFT);
             if !matches!(outcome, RequestOutcome::Answer(_)) {
                 failed += 1;
             }
@@ -123,8 +123,14 @@
 }
 
 fn renew() -> Datagram {
-    let renew =
-        Renew { holder: 123_456, lessor: 123_457, seq: 1000, version: 120_000, applied: 123_500 };
+    let renew = Renew {
+        holder: 123_456,
+        lessor: 123_457,
+        seq: 1000,
+        version: 120_000,
+        applied: 123_500,
+        declared: 0,
+    };
     Datagram { body: Some(datagram::Body::Renew(renew)) }
 }
 
--- a/acaciaringd/src/admin.rs
+++ b/acaciaringd/src/admin.rs
@@ -178,7 +178,7 @@
             return Some(status::reply(&self.shared, &self.gate));
         }
         let to: SocketAddr = peer_address(member)?;
-        let reply = self.transport.call(to, call::Body::Status(StatusQuery {}), QUERY);
+        let reply = self.transport.blocking_call(to, call::Body::Status(StatusQuery {}), QUERY);
         match reply {
             // A later process on the same address does not speak for this member.
             Ok(reply::Body::Status(status)) if status.member == member.id.0 => Some(status),
--- a/acaciaringd/src/announce.rs
+++ b/acaciaringd/src/announce.rs
@@ -85,6 +85,9 @@
     pub clock: u64,
     /// Phase.
     pub phase: Phase,
+    /// Identity of this start of the upstream, where it names one.
+    #[serde(default)]
+    pub instance: String,
 }
 
 /// Answer to an announcement.
--- a/acaciaringd/src/appender.rs
+++ b/acaciaringd/src/appender.rs
@@ -11,7 +11,7 @@
 use prost::Message;
 use tracing::{debug, warn};
 
-use crate::platform::{AppendError, LogClient};
+use crate::platform::{AppendError, LogService};
 
 /// Identity of a record, the same over all tries of its append.
 pub(crate) type RecordId = [u8; 16];
@@ -65,7 +65,7 @@
 
 impl Appender {
     /// Starts the thread.
-    pub(crate) fn start(log: LogClient, relay: Relay) -> Self {
+    pub(crate) fn start(log: Arc<dyn LogService>, relay: Relay) -> Self {
         let (queue, records) = bounded(QUEUE);
         let open = Open::default();
         let worker = Worker { queue: queue.clone(), log, relay, records, open: Arc::clone(&open) };
@@ -101,7 +101,7 @@
 
 struct Worker {
     queue: Sender<Record>,
-    log: LogClient,
+    log: Arc<dyn LogService>,
     relay: Relay,
     records: Receiver<Record>,
     open: Open,
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -6,6 +6,7 @@
 
 use acaciaring_core::balance::{self, BalanceSettings, Candidate, History, Load, Plan};
 use acaciaring_core::heat::Heat;
+use acaciaring_core::route::Weights;
 use acaciaring_core::state::{Phase, Service, State};
 use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Handoff, Merge, Split, Switchover, Unit, record};
@@ -24,6 +25,9 @@
 /// Owners that are told of this member's load at a time.
 const REPORTS: usize = 12;
 
+/// Weights of a service that no document describes.
+const EVEN: Weights = Weights { churn: 1_000, downtime: 1_000 };
+
 /// What this member knows and remembers for balance.
 #[derive(Debug, Default)]
 pub(super) struct Balance {
@@ -164,7 +168,8 @@
     fn decide(&mut self, now: Time, workspace: &Name) -> Option<Plan> {
         let me = self.identity.as_ref()?.me;
         let service = self.state.service(workspace)?;
-        let route = self.state.routes().get(workspace)?;
+        let route = self.state.routes().get(workspace);
+        let weights = route.map_or(EVEN, |route| route.weights);
         let mut members = BTreeMap::new();
         for member in self.state.members_of(workspace).filter(|member| member.alive()) {
             let load = if member.id == me {
@@ -180,14 +185,8 @@
         let gate = &self.parts.gate;
         let service_time = gate.service_time();
         let decide = |heat: &mut Heat| {
-            let view = balance::View {
-                me,
-                service,
-                members: &members,
-                heat,
-                weights: route.weights,
-                service_time,
-            };
+            let view =
+                balance::View { me, service, members: &members, heat, weights, service_time };
             balance::plan(now, &view, settings, history)
         };
         Some(gate.with_heat(workspace, decide))
--- a/acaciaringd/src/control/catch_up.rs
+++ b/acaciaringd/src/control/catch_up.rs
@@ -1,10 +1,11 @@
 //! Records from other members, when they are ahead of what the log service has told this one.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use acaciaring_core::{Offset, Time};
-use acaciaring_schema::peer::{Records, call, reply};
+use acaciaring_schema::peer::{DeclarationQuery, Records, call, reply};
 use tracing::debug;
 
 use super::{Control, Event};
@@ -13,6 +14,9 @@
 /// Time for which the log service itself may bring the records.
 const GRACE: Duration = Duration::from_millis(300);
 
+/// Time between two questions for the declared configuration.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// Records asked for at once.
 const LIMIT: u32 = 512;
 
@@ -43,4 +47,26 @@
         let records = call::Body::Records(Records { from: next.max(1), max: LIMIT });
         self.parts.outbox.call(from, records, wire::CALL, Box::new(done));
     }
+
+    /// Asks a member for a configuration that it has and this one has not.
+    ///
+    /// Guards against a member that cannot read where the configuration is declared while
+    /// others can: it would go on by an old one.
+    pub(super) fn follow(&mut self, now: Time, from: SocketAddr, version: u64) {
+        let declarations = &self.parts.declarations;
+        if version <= declarations.version() || now.since(self.followed) < PAUSE {
+            return;
+        }
+        self.followed = now;
+        debug!(%from, version, "another member has a newer configuration, asking it");
+        let declarations = Arc::clone(declarations);
+        let done = move |reply: Option<reply::Body>| {
+            let Some(reply::Body::Declaration(declaration)) = reply else { return };
+            if declaration.version > 0 {
+                declarations.offer(&declaration.content, "member");
+            }
+        };
+        let query = call::Body::Declaration(DeclarationQuery {});
+        self.parts.outbox.call(from, query, wire::CALL, Box::new(done));
+    }
 }
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -1,6 +1,7 @@
 //! Events that the control thread handles.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use acaciaring_core::state::{Outcome, RecordId};
 use acaciaring_core::{Name, Offset, UnitId};
@@ -8,7 +9,11 @@
 use acaciaring_schema::peer::{Datagram, Release};
 use crossbeam_channel::Sender;
 
+use tokio::sync::oneshot;
+
 use crate::announce::Announcement;
+use crate::declared::Declared;
+use crate::heartbeat::{Heartbeat, HeartbeatReply};
 
 /// Event for the control thread.
 pub(crate) enum Event {
@@ -30,6 +35,12 @@
     Announced(Announcement),
     /// An operator publishes a document.
     Publish(RecordId, Publish, Sender<PublishReply>),
+    /// The upstream reports what it holds.
+    Heartbeat(Heartbeat, oneshot::Sender<HeartbeatReply>),
+    /// The upstream is leaving and reports no more; it is told once nothing new is given to it.
+    UpstreamLeaves(Name, oneshot::Sender<()>),
+    /// A newer configuration is declared.
+    Declared(Arc<Declared>),
     /// The process was told to stop.
     Stop,
 }
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -108,7 +108,8 @@
         }
         let Some(service) = self.state.service(workspace) else { return Vec::new() };
         let unit_of = |key| service.unit_of(key);
-        if self.parts.shared.inflight.count(workspace, *unit, unit_of) > 0 {
+        let held = self.upstream_holds(now, workspace, *unit);
+        if held || self.parts.shared.inflight.count(workspace, *unit, unit_of) > 0 {
             return Vec::new();
         }
         let assignment = service.assignment(*unit);
@@ -136,6 +137,7 @@
             units: units.iter().map(|(unit, version)| wire::unit(*unit, *version)).collect(),
             dedup,
             blind: wire::millis(blind),
+            handovers: self.handovers(workspace, &units),
         };
         debug!(%workspace, %to, units = units.len(), "releasing");
         let events = self.parts.events.clone();
@@ -150,6 +152,15 @@
         self.parts.outbox.call(address, call::Body::Release(release), wire::CALL, Box::new(done));
     }
 
+    /// Returns what the upstream gave out for the next holder of each unit.
+    fn handovers(&self, workspace: &Name, units: &[(UnitId, Offset)]) -> Vec<String> {
+        let Some(service) = self.state.service(workspace).filter(|service| service.founded) else {
+            return Vec::new();
+        };
+        let handover = |unit| self.holding.holds.handover(&service.numbers(unit)).to_string();
+        units.iter().map(|(unit, _)| handover(*unit)).collect()
+    }
+
     /// Returns the units that a member is to serve next: as owner, or as standby of a closed owner.
     ///
     /// A message carries units of both kinds, those that the member serves next
@@ -187,6 +198,11 @@
             identity.rights.released(from, &workspace, wire::unit_id(unit), unit.version);
         }
         self.inherit(from, &workspace, release);
+        let handovers = release.units.iter().zip(&release.handovers);
+        for (unit, handover) in handovers.filter(|(_, handover)| !handover.is_empty()) {
+            let place = (Arc::clone(&workspace), wire::unit_id(unit));
+            self.roles.handovers.insert(place, Name::from(handover.as_str()));
+        }
         self.dirty = true;
     }
 
--- /dev/null
+++ b/acaciaringd/src/control/holding.rs
@@ -0,0 +1,200 @@
+//! Grants to an upstream that holds its units by them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acaciaring_core::holds::{Holds, Report, Wanted};
+use acaciaring_core::rights::Right;
+use acaciaring_core::state::Service;
+use acaciaring_core::{Name, Time, UnitId};
+use tokio::sync::oneshot;
+use tracing::{debug, info, warn};
+
+use super::Control;
+use super::identity::Retiring;
+use crate::announce::Phase;
+use crate::heartbeat::{Heartbeat, HeartbeatReply};
+use crate::view::{Permit, Permits};
+
+/// Time for which a leaving upstream still gets requests while its units pass to others.
+///
+/// An upstream that is leaving gets no new work two seconds after its word; the rest is for
+/// requests that are on their way to it.
+const LAST_WORK: Duration = Duration::from_secs(1);
+
+/// What is known of an upstream that reports what it holds.
+#[derive(Debug)]
+pub(super) struct Holding {
+    pub(super) holds: Holds,
+    /// True once the upstream has reported.
+    pub(super) reports: bool,
+    /// Since when the upstream is leaving.
+    leaving: Option<Time>,
+}
+
+impl Holding {
+    pub(super) fn new(now: Time, hold: Duration) -> Self {
+        Self { holds: Holds::new(now, hold), reports: false, leaving: None }
+    }
+
+    /// Returns true once a leaving upstream gets no more requests.
+    pub(super) fn closed(&self, now: Time) -> bool {
+        self.leaving.is_some_and(|since| now >= since + LAST_WORK)
+    }
+
+    /// Returns when something changes by time alone.
+    pub(super) fn next(&self, now: Time) -> Option<Time> {
+        let closing = self.leaving.map(|since| since + LAST_WORK).filter(|close| now < *close);
+        [self.holds.next_effect(now), closing].into_iter().flatten().min()
+    }
+}
+
+impl Control {
+    /// Takes in a report of the upstream and says what it is to hold.
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Time,
+        heartbeat: Heartbeat,
+        reply: oneshot::Sender<HeartbeatReply>,
+    ) {
+        let Heartbeat { announcement, sequence, held, freed, room } = heartbeat;
+        let instance = Name::from(announcement.instance.as_str());
+        let report = self.holding.holds.report(now, &instance, sequence, held, freed);
+        if report == Report::Late {
+            info!(%instance, sequence, "late report of the upstream");
+            // The sender may have gone away.
+            let _ = reply.send(HeartbeatReply::default());
+            return;
+        }
+        self.holding.reports = true;
+        if report == Report::Another {
+            info!(%instance, "the upstream has started anew");
+            self.holding.leaving = None;
+        }
+        if self.attached_elsewhere(&instance) {
+            self.announced = None;
+            self.link = None;
+            self.detach(now);
+        } else if announcement.phase == Phase::Draining {
+            self.upstream_leaves(now);
+        } else if self.holding.leaving.is_none() {
+            self.announce(now, announcement);
+        }
+        let answer = HeartbeatReply { grants: self.grants(now, room) };
+        debug!(%instance, ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
+        let _ = reply.send(answer);
+        self.dirty = true;
+    }
+
+    /// Notes that the upstream is leaving and reports no more.
+    pub(super) fn on_upstream_leaves(&mut self, now: Time, instance: &Name) {
+        if self.holding.holds.instance().is_none_or(|present| present == instance) {
+            self.upstream_leaves(now);
+        }
+        self.dirty = true;
+    }
+
+    fn upstream_leaves(&mut self, now: Time) {
+        if self.holding.leaving.is_none() {
+            info!("the upstream is leaving");
+            self.holding.leaving = Some(now);
+        }
+        self.announced = None;
+        self.detach(now);
+    }
+
+    /// Returns true while this identity stands for an earlier start of the upstream.
+    fn attached_elsewhere(&self, instance: &Name) -> bool {
+        let member = self.identity.as_ref().and_then(|identity| self.state.member(identity.me));
+        let attachment = member.and_then(|member| member.attachment.as_ref());
+        attachment.is_some_and(|attachment| attachment.instance != *instance)
+    }
+
+    /// Returns what the upstream is to hold, `None` when nothing can be granted.
+    fn grants(
+        &mut self,
+        now: Time,
+        room: usize,
+    ) -> Option<(Vec<acaciaring_core::holds::Granted>, Duration)> {
+        let service = self.own_service()?;
+        let lease = self.parts.shared.lease.get();
+        let wanted = self.wanted(now, &service);
+        self.holding.holds.grant(now, lease, &wanted, room)
+    }
+
+    fn own_service(&self) -> Option<Service> {
+        let member = self.state.member(self.identity.as_ref()?.me)?;
+        let attachment = member.attachment.as_ref()?;
+        let current = self.holding.holds.instance() == Some(&attachment.instance);
+        self.state.service(&attachment.workspace).filter(|_| current).cloned()
+    }
+
+    /// Returns the units that this member may serve now.
+    fn wanted(&mut self, now: Time, service: &Service) -> Vec<Wanted> {
+        let state = Arc::clone(&self.state);
+        let Some(identity) = &mut self.identity else { return Vec::new() };
+        let me = Some(identity.me);
+        let mut wanted = Vec::new();
+        for (unit, assignment) in service.units() {
+            if assignment.owner != me && assignment.standby != me {
+                continue;
+            }
+            let (holder, tally) = (&identity.holder, &identity.tally);
+            let right = identity.rights.right(now, &state, holder, tally, &service.workspace, unit);
+            let Right::Serve { token, .. } = right else { continue };
+            let keys = service.numbers(unit);
+            let place = (Arc::clone(&service.workspace), unit);
+            let handover = if self.holding.holds.serves(now, unit, token) {
+                None
+            } else {
+                self.roles.handovers.get(&place).map(Arc::clone)
+            };
+            let handover = handover.unwrap_or_else(|| Name::from(""));
+            wanted.push(Wanted { unit, token, keys, handover });
+        }
+        wanted
+    }
+
+    /// Turns rights into waits while the upstream does not hold the units yet.
+    pub(super) fn hold_back(&self, now: Time, permits: &mut Permits) {
+        if !self.holding.reports {
+            return;
+        }
+        for units in permits.values_mut() {
+            for (unit, permit) in units.iter_mut() {
+                if let Permit::Serve { token, .. } = *permit
+                    && !self.holding.holds.serves(now, *unit, token)
+                {
+                    *permit = Permit::Wait;
+                }
+            }
+        }
+    }
+
+    /// Returns true while the upstream may still hold a unit.
+    pub(super) fn upstream_holds(&self, now: Time, workspace: &Name, unit: UnitId) -> bool {
+        let Some(service) = self.state.service(workspace).filter(|s| s.founded) else {
+            return false;
+        };
+        self.holding.holds.may_hold(now, unit, &service.numbers(unit))
+    }
+
+    /// Returns true when a process that starts anew here takes this one's place at once.
+    pub(super) fn resumable(&self) -> bool {
+        self.holding.reports && self.announced.is_some() && self.attached()
+    }
+
+    /// Joins anew in place of an identity whose lease is lost.
+    ///
+    /// Guards against a loss of half of all members: their former lessors are gone, and to wait
+    /// for the proof of their end would leave keys without a server for many times the term.
+    /// This identity serves and grants nothing any more; the next one's attachment replaces it.
+    pub(super) fn start_over(&mut self) {
+        if let Some(identity) = &mut self.identity {
+            warn!(member = %identity.me, "identity is replaced by the next one of this process");
+            identity.lessor.stop();
+            identity.retiring = Some(Retiring::Lease);
+        }
+        self.end_identity();
+    }
+}
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -62,6 +62,7 @@
             seq: renewal.seq,
             version: renewal.version,
             applied: self.state.next(),
+            declared: self.parts.declarations.version(),
         };
         let datagram = Datagram { body: Some(datagram::Body::Renew(renew)) };
         self.parts.transport.send(to, &datagram, renewal.fresh);
@@ -94,6 +95,7 @@
             Some(datagram::Body::Renew(renew)) => self.on_renew(now, from, &renew),
             Some(datagram::Body::Grant(grant)) => {
                 self.catch_up(now, from, grant.applied);
+                self.follow(now, from, grant.declared);
                 self.on_grant(now, &grant);
             }
             Some(datagram::Body::Loads(loads)) => self.on_loads(now, &loads),
@@ -103,6 +105,7 @@
 
     fn on_renew(&mut self, now: Time, from: SocketAddr, renew: &Renew) {
         self.catch_up(now, from, renew.applied);
+        self.follow(now, from, renew.declared);
         let Some(identity) = &mut self.identity else { return };
         if renew.lessor != identity.me.0 {
             return;
@@ -117,6 +120,7 @@
             version: answer.version,
             granted: answer.granted,
             applied: self.state.next(),
+            declared: self.parts.declarations.version(),
         };
         let datagram = Datagram { body: Some(datagram::Body::Grant(grant)) };
         self.parts.transport.send(from, &datagram, false);
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod eviction;
 mod fold;
 mod handover;
+mod holding;
 mod identity;
 mod lease;
 mod placement;
@@ -19,12 +20,14 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use acaciaring_core::balance::BalanceSettings;
 use acaciaring_core::lease::LeaseSettings;
-use acaciaring_core::state::{Replica, State};
+use acaciaring_core::route::Routes;
+use acaciaring_core::state::{Phase, Replica, State};
 use acaciaring_core::{MemberId, Name, Time};
 use acaciaring_schema::log::{Join, record};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -35,6 +38,7 @@
 pub(crate) use self::event::{Event, PublishReply};
 use self::fold::Progress;
 use self::handover::Handover;
+use self::holding::Holding;
 use self::identity::Identity;
 use self::lease::Voting;
 use self::proposal::{Proposals, Purpose};
@@ -45,10 +49,12 @@
 use crate::announce::Announcement;
 use crate::appender::Appender;
 use crate::clock;
+use crate::declared::{Declarations, Declared};
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::peer::Transport;
+use crate::platform::LogService;
 use crate::reader::Wanted;
 use crate::recent::Recent;
 use crate::view::{Link, Shared, View};
@@ -89,6 +95,11 @@
     pub(crate) wanted: Wanted,
     pub(crate) events: Sender<Event>,
     pub(crate) metrics: Metrics,
+    /// Log service, for the records that a snapshot covers.
+    pub(crate) log: Arc<dyn LogService>,
+    pub(crate) declarations: Arc<Declarations>,
+    /// Longest time for which the upstream is told to hold its units.
+    pub(crate) hold: Duration,
 }
 
 /// Join of an identity that is not yet in the log.
@@ -117,6 +128,11 @@
     joining: Option<Joining>,
     announced: Option<Announced>,
     link: Option<Link>,
+    holding: Holding,
+    /// Declared configuration in force.
+    declared: Option<Arc<Declared>>,
+    /// When another member was last asked for the declared configuration.
+    followed: Time,
     roles: Roles,
     replication: Replication,
     handover: Handover,
@@ -132,6 +148,10 @@
     /// When the slow duties were last done.
     duties: Time,
     stopping: Option<Time>,
+    /// True while this process stops and the next one beside the same upstream takes its place.
+    pausing: bool,
+    /// When something about the upstream's holds was to change by time alone.
+    awaited: Option<Time>,
     /// True when rights must be computed anew.
     dirty: bool,
     /// True while the gate takes no new requests.
@@ -150,6 +170,7 @@
 
     fn new(parts: Parts) -> Self {
         let proposals = Proposals::new(parts.appender.clone());
+        let holding = Holding::new(clock::now(), parts.hold);
         Self {
             proposals,
             answers: Answers::default(),
@@ -159,6 +180,9 @@
             joining: None,
             announced: None,
             link: None,
+            holding,
+            declared: None,
+            followed: Time::ZERO,
             roles: Roles::default(),
             replication: Replication::default(),
             handover: Handover::default(),
@@ -171,6 +195,8 @@
             voting: Voting::default(),
             duties: Time::ZERO,
             stopping: None,
+            pausing: false,
+            awaited: None,
             dirty: true,
             closed: false,
         }
@@ -193,7 +219,8 @@
     }
 
     fn pause(&self, now: Time) -> Duration {
-        let next = self.identity.as_ref().map(|identity| identity.holder.next_due(now));
+        let renewal = self.identity.as_ref().map(|identity| identity.holder.next_due(now));
+        let next = [renewal, self.holding.next(now)].into_iter().flatten().min();
         next.map_or(ROUND, |next| next.since(now).min(ROUND))
     }
 
@@ -216,6 +243,17 @@
             }
             Event::Announced(announcement) => self.announce(now, announcement),
             Event::Publish(id, publish, reply) => self.publish(now, id, publish, &reply),
+            Event::Heartbeat(heartbeat, reply) => self.heartbeat(now, heartbeat, reply),
+            Event::UpstreamLeaves(instance, reply) => {
+                self.on_upstream_leaves(now, &instance);
+                self.refresh(now);
+                // The sender may have gone away.
+                let _ = reply.send(());
+            }
+            Event::Declared(declared) => {
+                self.declared = Some(declared);
+                self.dirty = true;
+            }
             Event::Stop => self.stop(now),
         }
     }
@@ -226,11 +264,14 @@
         // What the records call for, for example a new standby to be told, is done at once.
         self.duties = Time::ZERO;
         self.find_identity();
+        self.trust_members();
         self.learn_members(now);
         self.find_draining();
     }
 
     fn round(&mut self, now: Time) {
+        self.dirty |= self.holding.reports && self.holding.next(now) != self.awaited;
+        self.awaited = self.holding.next(now);
         self.renew(now);
         self.cast_votes(now);
         self.refresh(now);
@@ -265,6 +306,7 @@
             rack: place.rack.clone(),
             peer: place.peer.clone(),
             http: place.http.clone(),
+            fingerprint: self.parts.transport.fingerprint().to_vec(),
         };
         self.proposals.propose(now, Purpose::Join, record::Body::Join(join));
     }
@@ -287,19 +329,37 @@
             return;
         }
         self.dirty = false;
-        let permits = self.permits(now);
+        let mut permits = self.permits(now);
+        self.hold_back(now, &mut permits);
         self.take_up_roles(now, &permits);
         self.prune_synced();
         let view = View {
             me: self.identity.as_ref().map(|identity| identity.me),
             state: Arc::clone(&self.state),
-            routes: Arc::new(self.state.routes().values().cloned().collect()),
+            routes: self.routes(),
             permits: Arc::new(permits),
             synced: Arc::new(self.replication.synced.clone()),
             expired: Arc::new(self.expired(now)),
             link: self.link.clone(),
-            closed: self.closed || self.leaving(),
+            closed: self.closed || self.leaving() || self.holding.closed(now),
         };
         self.parts.shared.publish(view);
+        if self.declared.is_some() {
+            self.parts.shared.configured.store(true, Ordering::Release);
+        }
+    }
+
+    /// Returns the routes in force: those that are declared, or those of the log.
+    fn routes(&self) -> Arc<Routes> {
+        if let Some(declared) = &self.declared {
+            return Arc::new(declared.routes.clone());
+        }
+        Arc::new(self.state.routes().values().cloned().collect())
+    }
+
+    /// Tells the transport which certificates belong to members that are not dead.
+    fn trust_members(&self) {
+        let live = self.state.members().filter(|member| member.phase != Phase::Dead);
+        self.parts.transport.trust(live.map(|member| member.fingerprint.as_slice()));
     }
 }
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -18,6 +18,16 @@
 /// Time for which members may join before slots without owner are assigned.
 const SETTLE: Duration = Duration::from_secs(1);
 
+/// Slots of a declared service for each of its members.
+///
+/// Enough to even out the load in small steps; few enough that a report's reply has room for
+/// the slots of several members that were lost.
+const SLOTS_EACH: u32 = 32;
+
+/// Fewest and most slots of a declared service; at the target size a slot has 16 keys.
+const SLOTS_LEAST: u32 = 64;
+const SLOTS_MOST: u32 = 4096;
+
 /// Delay of an assignment per rank, so that not all members append it.
 const STAGGER: Duration = Duration::from_millis(300);
 
@@ -50,6 +60,7 @@
             fenced: announcement.fenced,
             clock: announcement.clock,
             received: now,
+            instance: Arc::from(announcement.instance.as_str()),
         };
         self.parts.gate.announce(now, &announcement);
         self.link = Some(link);
@@ -79,6 +90,7 @@
                     workspace: announcement.workspace.clone(),
                     upstream: announcement.address.to_string(),
                     fenced: announcement.fenced,
+                    instance: announcement.instance.clone(),
                 };
                 self.proposals.propose(now, Purpose::Attach, record::Body::Attach(attach));
             }
@@ -110,27 +122,52 @@
         }
         let rank = self.state.snapshot_rank(identity.me);
         let rank = rank.and_then(|rank| u32::try_from(rank).ok()).unwrap_or(u32::MAX >> 8);
-        let vacant: Vec<Name> =
-            self.state.services().filter(|service| self.assignable(service)).map(name).collect();
+        let services = self.state.services().filter(|service| self.assignable(service)).map(name);
+        let vacant: Vec<Name> = services.chain(self.unfounded()).collect();
         self.vacant.retain(|workspace, _| vacant.contains(workspace));
         for workspace in vacant {
             let since = *self.vacant.entry(Arc::clone(&workspace)).or_insert(now);
             if now.since(since) < SETTLE + STAGGER * rank {
                 continue;
             }
-            let body = record::Body::Assign(Assign { workspace: workspace.to_string() });
+            let slots = self.slots(&workspace);
+            let body = record::Body::Assign(Assign { workspace: workspace.to_string(), slots });
             if self.proposals.propose(now, Purpose::Assign(Arc::clone(&workspace)), body) {
                 info!(%workspace, "proposing owners for slots without one");
             }
         }
     }
 
+    /// Returns the declared services that are divided by key and not yet in the log.
+    fn unfounded(&self) -> Vec<Name> {
+        let declared = self.declared.iter().flat_map(|declared| &declared.keyed);
+        let lacks = |workspace: &&Name| {
+            let mut members = self.state.members_of(workspace);
+            self.state.service(workspace).is_none() && members.any(|m| !m.lessors.is_empty())
+        };
+        declared.filter(lacks).cloned().collect()
+    }
+
+    /// Returns the count of slots into which a declared service is divided, 0 for others.
+    ///
+    /// It stays for good, so it follows from the members that are there at the beginning.
+    fn slots(&self, workspace: &Name) -> u32 {
+        if !self.declared.as_ref().is_some_and(|declared| declared.keyed.contains(workspace)) {
+            return 0;
+        }
+        let members = u32::try_from(self.state.members_of(workspace).count()).unwrap_or(u32::MAX);
+        let slots = members.saturating_mul(SLOTS_EACH).checked_next_power_of_two();
+        slots.unwrap_or(SLOTS_MOST).clamp(SLOTS_LEAST, SLOTS_MOST)
+    }
+
     fn assignable(&self, service: &Service) -> bool {
         let vacant = service.slots.iter().any(|assignment| assignment.owner.is_none());
         let route = self.state.routes().get(&service.workspace);
         let keyed = route.is_some_and(|route| matches!(route.division, Division::Keyed { .. }));
         let mut members = self.state.members_of(&service.workspace);
-        vacant && keyed && members.any(|member| member.alive() && !member.lessors.is_empty())
+        vacant
+            && (keyed || service.founded)
+            && members.any(|member| member.alive() && !member.lessors.is_empty())
     }
 
     /// Submits a proposal, and takes back what was given up for it when it cannot be queued.
--- a/acaciaringd/src/control/replication.rs
+++ b/acaciaringd/src/control/replication.rs
@@ -47,6 +47,10 @@
 
     /// Returns the units served here whose standby has not acknowledged a sync.
     fn unsynced(&self) -> Vec<(Name, UnitId, MemberId)> {
+        if self.parts.shared.declares {
+            // Requests of declared routes are never repeated under the same identity.
+            return Vec::new();
+        }
         let mut found = Vec::new();
         let view = self.parts.shared.view();
         for (workspace, units) in view.permits.iter() {
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -1,6 +1,7 @@
 //! End of an identity: graceful shutdown, lost upstream, lost lease.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use acaciaring_core::state::Phase;
@@ -20,6 +21,11 @@
 /// The same when the upstream has refused a connection since: its process is gone.
 const REFUSED_SILENCE: Duration = Duration::from_millis(700);
 
+/// Time for which a process that is to be started again beside its upstream still serves.
+///
+/// Callers leave it once it has said twice, a second apart, that it is not ready.
+const PAUSE: Duration = Duration::from_millis(2300);
+
 /// Time after which a stop no longer waits for the log and releases without it.
 const LOG: Duration = Duration::from_secs(2);
 
@@ -28,6 +34,11 @@
     pub(super) fn stop(&mut self, now: Time) {
         info!("graceful shutdown begins");
         self.stopping.get_or_insert(now);
+        self.parts.shared.stopping.store(true, Ordering::Release);
+        self.pausing = self.resumable();
+        if self.pausing {
+            return;
+        }
         match &mut self.identity {
             Some(identity) => identity.retire(now, Retiring::Stop),
             None => self.proposals.clear(),
@@ -41,6 +52,10 @@
             return true;
         }
         let late = now.since(since) >= self.parts.drain;
+        if self.pausing {
+            let idle = self.parts.shared.inflight.total() == 0;
+            return late || (now.since(since) >= PAUSE && idle);
+        }
         if late {
             warn!(
                 inflight = self.parts.shared.inflight.total(),
@@ -58,6 +73,9 @@
         let me = identity.me;
         let Some(retiring) = identity.retiring else { return };
         match self.state.member(me).map(|member| member.phase) {
+            Some(Phase::Alive) if retiring == Retiring::Lease && self.holding.reports => {
+                self.start_over();
+            }
             Some(Phase::Alive) if retiring == Retiring::Lease => self.exit(now),
             Some(Phase::Alive) => self.leave(now),
             Some(Phase::Leaving) if self.all_released() => self.exit(now),
@@ -184,7 +202,7 @@
         member.is_some_and(|member| member.phase == Phase::Leaving)
     }
 
-    fn end_identity(&mut self) {
+    pub(super) fn end_identity(&mut self) {
         let Some(identity) = self.identity.take() else { return };
         info!(member = %identity.me, "identity has ended");
         self.proposals.clear();
--- a/acaciaringd/src/control/roles.rs
+++ b/acaciaringd/src/control/roles.rs
@@ -35,6 +35,8 @@
     pub(super) duties: HashMap<(Name, UnitId), Duty>,
     /// What former servers have passed on with their releases.
     pub(super) inheritances: HashMap<(Name, UnitId), Legacy>,
+    /// What the upstreams of former servers gave out for the next holder.
+    pub(super) handovers: HashMap<(Name, UnitId), Name>,
     /// Units that had no server before this member.
     pub(super) founded: HashSet<(Name, UnitId)>,
 }
@@ -78,6 +80,7 @@
             self.roles.duties.keys().filter(|place| !seen.contains(*place)).cloned().collect();
         for place in gone {
             self.roles.duties.remove(&place);
+            self.roles.handovers.remove(&place);
             let role = if self.has_slot(&place) { Role::Merge } else { Role::Nothing };
             self.parts.gate.dedup.take_up(now, &place.0, place.1, role);
         }
@@ -136,6 +139,7 @@
             self.parts.gate.dedup.take_up(now, &workspace, unit, Role::Nothing);
         }
         self.roles.inheritances.clear();
+        self.roles.handovers.clear();
         self.roles.founded.clear();
     }
 
--- a/acaciaringd/src/control/snapshot.rs
+++ b/acaciaringd/src/control/snapshot.rs
@@ -1,5 +1,7 @@
 //! Snapshots of the folded state, so that the log's retention may take old records.
 
+use std::sync::Arc;
+
 use acaciaring_core::state::snapshot::{self, CHUNK_SIZE};
 use acaciaring_core::{Offset, Time};
 use tracing::info;
@@ -34,6 +36,16 @@
 }
 
 impl Control {
+    /// Lets the log service drop what this member's own snapshot covers.
+    fn trim(&self, now: Time, covered: Offset) {
+        if self.snapshots.wrote == Time::ZERO || now.since(self.snapshots.wrote) > STAND_IN {
+            return;
+        }
+        let log = Arc::clone(&self.parts.log);
+        // It may wait for the log service, for which the control thread must not.
+        self.parts.transport.runtime().spawn_blocking(move || log.trim(covered));
+    }
+
     /// Writes a snapshot when one is due and it falls to this member.
     pub(super) fn snapshot(&mut self, now: Time) {
         let Some(identity) = &self.identity else { return };
@@ -41,6 +53,7 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let newest = self.replica.snapshot_next();
         if newest != self.snapshots.covered {
+            self.trim(now, newest);
             self.snapshots.covered = newest;
             self.snapshots.seen = now;
         }
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -1,7 +1,9 @@
 //! Start and graceful stop of the daemon.
 
+mod edges;
 mod late;
 mod options;
+mod own;
 mod relay;
 
 use std::net::SocketAddr;
@@ -17,25 +19,26 @@
 use snafu::{ResultExt, Snafu};
 use tracing::info;
 
+pub use self::edges::{Doors, EdgeError, Edges, Front, Inside};
 use self::late::LateHandler;
+use self::own::OwnEdges;
 use crate::admin::MemberAdmin;
-use crate::announce::{AdminError, AdminListener, AdminSettings};
 use crate::appender::Appender;
 use crate::control::{Control, Event, Parts};
-use crate::entry::{Entry, EntryError};
+use crate::declared::Declarations;
 use crate::gate::Gate;
 use crate::gauges;
 use crate::handler::PeerHandler;
+use crate::heartbeat::Heartbeats;
 use crate::metrics::{Metrics, MetricsError};
 use crate::outbox::Outbox;
 use crate::peer::{PeerError, Transport};
 use crate::reader;
 use crate::recent::Recent;
-use crate::router::{Budgets, Lingerers, Outages, Router, Suspects};
-use crate::upstream::{Upstream, UpstreamSettings};
+use crate::router::{Budgets, Lingerers, Outages, Router, Shares, Suspects};
 use crate::view::Shared;
 
-/// One in this many entry threads may wait for a takeover.
+/// One in this many requests in hand may wait for a takeover.
 const LINGERERS: usize = 4;
 
 /// Longest wait for callers' requests after the hand-over.
@@ -45,28 +48,22 @@
 #[derive(Debug, Snafu)]
 pub enum StartError {
     /// The metrics cannot be sent.
-    #[snafu(display("cannot start the metrics: {source}"))]
+    #[snafu(display("cannot start the metrics"))]
     Metrics {
         /// Cause.
         source: MetricsError,
     },
     /// The transport between members cannot start.
-    #[snafu(display("cannot start the transport between members: {source}"))]
+    #[snafu(display("cannot start the transport between members"))]
     Peer {
         /// Cause.
         source: PeerError,
     },
-    /// The entry for callers cannot start.
-    #[snafu(display("cannot start the entry: {source}"))]
-    Entry {
+    /// A listener cannot start.
+    #[snafu(display("cannot open the listeners"))]
+    Edge {
         /// Cause.
-        source: EntryError,
-    },
-    /// The admin listener cannot start.
-    #[snafu(display("cannot start the admin listener: {source}"))]
-    Admin {
-        /// Cause.
-        source: AdminError,
+        source: EdgeError,
     },
 }
 
@@ -74,37 +71,47 @@
 pub struct Daemon {
     events: Sender<Event>,
     control: JoinHandle<()>,
-    entry: Entry,
-    admin: AdminListener,
+    doors: Box<dyn Doors>,
     transport: Transport,
 }
 
 impl Daemon {
-    /// Starts all threads of the daemon.
+    /// Starts all threads of the daemon with the project's own edges.
     ///
     /// # Errors
     ///
     /// Fails when an address cannot be listened on or the TLS files are not usable.
     pub fn start(settings: &Settings) -> Result<Self, StartError> {
         let metrics = Metrics::new(&settings.metrics).context(MetricsSnafu)?;
-        let shared = Arc::new(Shared::default());
+        let edges = OwnEdges { settings, metrics: metrics.clone() };
+        Self::start_with(settings, metrics, &edges)
+    }
+
+    /// Starts all threads of the daemon with other edges.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on or the TLS files are not usable.
+    pub fn start_with(
+        settings: &Settings,
+        metrics: Metrics,
+        edges: &dyn Edges,
+    ) -> Result<Self, StartError> {
+        let decoder = edges.decoder();
+        let shared = Arc::new(Shared::new(decoder.is_some()));
         let recent = Arc::new(Recent::default());
         let (events, inbox) = unbounded();
-        let log = options::log_client(settings).metered(metrics.clone());
+        let declarations = Arc::new(Declarations::new(decoder, events.clone()));
 
         let late = Arc::new(LateHandler::default());
         let transport =
             Transport::metered(options::peer_settings(settings), late.clone(), metrics.clone())
                 .context(PeerSnafu)?;
-        let outbox = Outbox::start(&transport);
-        let upstream = Upstream::new(UpstreamSettings {
-            connections: settings.limits.connections as usize,
-            body: settings.limits.body,
-            ..UpstreamSettings::default()
-        });
+        let log = edges.log(transport.runtime());
+        let outbox = Outbox::new(&transport);
         let gate = Arc::new(Gate::new(
             Arc::clone(&shared),
-            upstream,
+            edges.outlet(),
             options::admission_settings(settings),
             transport.clone(),
             outbox.clone(),
@@ -115,7 +122,8 @@
             gate: Arc::clone(&gate),
             shared: Arc::clone(&shared),
             recent: Arc::clone(&recent),
-            log: log.clone(),
+            log: Arc::clone(&log),
+            declarations: Arc::clone(&declarations),
         });
 
         let router = Router {
@@ -128,25 +136,29 @@
             outages: Outages::default(),
             metrics: metrics.clone(),
             lingerers: Lingerers::new(settings.entry.workers as usize / LINGERERS),
+            shares: Shares::default(),
         };
-        let entry = Entry::start(options::entry_settings(settings), Arc::new(router))
-            .context(EntrySnafu)?;
         let admin = MemberAdmin {
             events: events.clone(),
             shared: Arc::clone(&shared),
             gate: Arc::clone(&gate),
             transport: transport.clone(),
         };
-        let admin_settings =
-            AdminSettings { address: settings.listen.admin, ..AdminSettings::default() };
-        let admin = AdminListener::start(&admin_settings, Arc::new(admin)).context(AdminSnafu)?;
+        let inside = Inside {
+            runtime: transport.runtime().clone(),
+            front: Front { router: Arc::new(router), declarations: Arc::clone(&declarations) },
+            heartbeats: Heartbeats::new(events.clone()),
+            declarations: Arc::clone(&declarations),
+            admin: Arc::new(admin),
+        };
+        let doors = edges.open(inside).context(EdgeSnafu)?;
 
         let wanted = Arc::new(AtomicU64::new(1));
         let parts = Parts {
             place: options::place(
                 settings,
                 settings.listen.advertised.unwrap_or(transport.local_addr()),
-                entry.local_addr(),
+                doors.callers(),
             ),
             lease: options::lease_settings(&settings.lease),
             drain: settings.limits.drain,
@@ -157,24 +169,27 @@
             gate,
             transport: transport.clone(),
             outbox,
-            appender: Appender::start(log.clone(), relay::append_relay(&shared, &transport)),
+            appender: Appender::start(Arc::clone(&log), relay::append_relay(&shared, &transport)),
             recent,
             wanted: Arc::clone(&wanted),
             events: events.clone(),
             metrics: metrics.clone(),
+            log: Arc::clone(&log),
+            declarations,
+            hold: settings.upstream.hold,
         };
         gauges::start(&parts.shared, &parts.gate, metrics);
         let wait = settings.log.wait;
         reader::start(log, wait, relay::read_relay(&shared, &transport), wanted, events.clone());
         let control = Control::start(parts, inbox);
-        info!(http = %entry.local_addr(), peer = %transport.local_addr(), admin = %admin.local_addr(), "started");
-        Ok(Self { events, control, entry, admin, transport })
+        info!(http = %doors.callers(), peer = %transport.local_addr(), admin = %doors.admin(), "started");
+        Ok(Self { events, control, doors, transport })
     }
 
     /// Returns the address for callers.
     #[must_use]
     pub fn http(&self) -> SocketAddr {
-        self.entry.local_addr()
+        self.doors.callers()
     }
 
     /// Returns the address for other members.
@@ -186,7 +201,7 @@
     /// Returns the address for announcements and the command-line tool.
     #[must_use]
     pub fn admin(&self) -> SocketAddr {
-        self.admin.local_addr()
+        self.doors.admin()
     }
 
     /// Hands everything over, finishes what is in flight and ends; returns how many requests were cut off.
@@ -195,7 +210,7 @@
         // Control ends by itself only after a stop.
         let _ = self.events.send(Event::Stop);
         let _ = self.control.join();
-        let cut = self.entry.drain(ENTRY_DRAIN);
+        let cut = self.doors.drain(ENTRY_DRAIN);
         self.transport.stop();
         info!(cut, "stopped");
         cut
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -29,10 +29,11 @@
 pub(super) fn peer_settings(settings: &Settings) -> PeerSettings {
     PeerSettings {
         address: settings.listen.peer,
-        certificate: settings.tls.certificate.clone(),
-        key: settings.tls.key.clone(),
-        authority: settings.tls.authority.clone(),
+        certificate: settings.tls.certificate.clone().unwrap_or_default(),
+        key: settings.tls.key.clone().unwrap_or_default(),
+        authority: settings.tls.authority.clone().unwrap_or_default(),
         workers: settings.peer.workers as usize,
+        threads: settings.traffic.threads as usize,
         limit: message_limit(settings),
         arrival: settings.peer.arrival,
         connect: settings.peer.connect,
--- a/acaciaringd/src/daemon/relay.rs
+++ b/acaciaringd/src/daemon/relay.rs
@@ -19,7 +19,7 @@
     Box::new(move |record| {
         let Some(to) = shared.view().other(clock::now()) else { return Appended::No };
         let append = call::Body::Append(Append { record: record.to_vec() });
-        match transport.call(to, append, wire::CALL) {
+        match transport.blocking_call(to, append, wire::CALL) {
             Ok(reply::Body::Appended(appended)) if appended.offset > 0 => Appended::Yes,
             Ok(reply::Body::Done(_)) => Appended::No,
             Err(error) if !error.may_have_run() => Appended::No,
@@ -34,7 +34,7 @@
     Box::new(move |from, max| {
         let to = shared.view().other(clock::now())?;
         let records = call::Body::Records(Records { from, max });
-        match transport.call(to, records, wire::CALL) {
+        match transport.blocking_call(to, records, wire::CALL) {
             Ok(reply::Body::Records(batch)) if !batch.entries.is_empty() => Some(batch),
             _ => None,
         }
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -1,14 +1,15 @@
 //! The way from the gate to the upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::{Reason, Refusal, Time, Verdict};
+use acaciaring_core::{Reason, Refusal, Time};
 use acaciaring_schema::peer::Answer;
 
 use super::{Gate, Grant, Job, MOVING, request_id};
 use crate::clock;
 use crate::metrics::{Counter, Timer};
-use crate::upstream::{Fence, UpstreamCall};
+use crate::upstream::{Fence, OutletCall};
 use crate::view::{Link, Shared};
 use crate::wire;
 
@@ -20,9 +21,13 @@
 
 impl Gate {
     /// Waits for a place at the upstream and gives it the request.
-    pub(super) fn forward(&self, job: &Job<'_>, grant: Option<Grant>) -> Result<Answer, Refusal> {
-        let place =
-            self.queue.enter(job.class.rank, job.deadline, job.request.attempt, job.cancelled)?;
+    pub(super) async fn forward(
+        &self,
+        job: &Job<'_>,
+        grant: Option<Grant>,
+    ) -> Result<Answer, Refusal> {
+        let attempt = job.request.attempt;
+        let place = self.queue.enter(job.rank, job.deadline, attempt, job.cancelled).await?;
         let view = self.shared.view();
         let link = view.link.as_ref().ok_or(Refusal::not_run(Reason::UpstreamDown))?;
         if *link.workspace != *job.workspace {
@@ -32,36 +37,37 @@
         if job.cancelled.is_set() {
             return Err(Refusal::not_run(Reason::Cancelled));
         }
-        let result = self.send(job, link, fence);
-        if result.as_ref().is_err_and(|refusal| refusal.verdict == Verdict::Unknown) {
-            self.canceller.cancel(link.address, job.request.attempt);
-        }
+        let result = self.send(job, link, fence).await;
         place.finish(&result);
         result
     }
 
-    fn send(&self, job: &Job<'_>, link: &Link, fence: Option<Fence>) -> Result<Answer, Refusal> {
+    async fn send(
+        &self,
+        job: &Job<'_>,
+        link: &Link,
+        fence: Option<Fence>,
+    ) -> Result<Answer, Refusal> {
         let left = self.bound(job, link, fence.is_some());
         if left.is_zero() {
             return Err(Refusal::not_run(Reason::Expired));
         }
         let request = job.request;
-        self.canceller.watch(job.cancelled, link.address, request.attempt);
-        let headers = wire::headers(&request.headers);
-        let call = UpstreamCall {
+        let call = OutletCall {
             address: link.address,
-            method: &request.method,
-            path: &request.path,
-            headers: &headers,
-            body: &request.body,
+            method: request.method.clone(),
+            path: request.path.clone(),
+            headers: wire::headers(&request.headers),
+            body: request.body.clone(),
             id: request_id(request)?,
             attempt: request.attempt,
             left,
             fence,
-            trace: &request.trace,
+            trace: request.trace.clone(),
+            instance: Arc::clone(&link.instance),
         };
         let start = clock::now();
-        let result = self.upstream.send(&call);
+        let result = self.outlet.send(call, job.cancelled).await;
         self.metrics.time(Timer::Upstream, clock::now().since(start));
         match &result {
             Err(Refusal { reason: Reason::Busy, .. }) => {
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -1,6 +1,5 @@
 //! Gate: every request to the upstream beside this member passes through it.
 
-mod cancel;
 mod dedup;
 mod forward;
 mod once;
@@ -12,7 +11,7 @@
 
 use acaciaring_core::admission::AdmissionSettings;
 use acaciaring_core::heat::{Heat, HeatSettings};
-use acaciaring_core::route::{Class, Division, Repeat, Route};
+use acaciaring_core::route::{Division, Rank, Repeat};
 use acaciaring_core::{
     KeyHash, MemberId, Name, Offset, Reason, Refusal, RequestId, Slot, Time, Token, UnitId,
 };
@@ -21,7 +20,6 @@
 use parking_lot::Mutex;
 use tracing::debug;
 
-use self::cancel::Canceller;
 pub(crate) use self::dedup::{Dedup, Inheritance, Role};
 use self::queue::Queue;
 use crate::announce::Announcement;
@@ -30,7 +28,7 @@
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::peer::{CancelFlag, Transport};
-use crate::upstream::Upstream;
+use crate::upstream::Outlet;
 use crate::view::{Permit, Shared, View};
 use crate::wire;
 
@@ -56,8 +54,7 @@
 /// Gate in front of the upstream.
 pub(crate) struct Gate {
     shared: Arc<Shared>,
-    upstream: Arc<Upstream>,
-    canceller: Canceller,
+    outlet: Arc<dyn Outlet>,
     queue: Queue,
     /// Memory of requests that may run once.
     pub(crate) dedup: Dedup,
@@ -71,7 +68,8 @@
 struct Job<'a> {
     request: &'a Request,
     workspace: Name,
-    class: Class,
+    rank: Rank,
+    repeat: Repeat,
     deadline: Time,
     cancelled: &'a CancelFlag,
 }
@@ -80,18 +78,16 @@
     /// Makes the gate of a process.
     pub(crate) fn new(
         shared: Arc<Shared>,
-        upstream: Upstream,
+        outlet: Arc<dyn Outlet>,
         admission: AdmissionSettings,
         transport: Transport,
         outbox: Outbox,
         metrics: Metrics,
     ) -> Self {
         let queue = Queue::new(admission, metrics.clone());
-        let upstream = Arc::new(upstream);
         Self {
             shared,
-            canceller: Canceller::start(Arc::clone(&upstream)),
-            upstream,
+            outlet,
             queue,
             dedup: Dedup::default(),
             transport,
@@ -102,9 +98,9 @@
     }
 
     /// Runs a request, or refuses it with a verdict.
-    pub(crate) fn run(&self, request: &Request, cancelled: &CancelFlag) -> Answer {
+    pub(crate) async fn run(&self, request: &Request, cancelled: &CancelFlag) -> Answer {
         let now = clock::now();
-        let mut answer = match self.serve(now, request, cancelled) {
+        let mut answer = match self.serve(now, request, cancelled).await {
             Ok(answer) => answer,
             Err(refusal) => {
                 debug!(
@@ -122,7 +118,7 @@
         answer
     }
 
-    fn serve(
+    async fn serve(
         &self,
         now: Time,
         request: &Request,
@@ -134,42 +130,56 @@
             // The caller means an earlier process on this address.
             return Err(Refusal::not_run(Reason::NotOwner));
         }
-        let route = view.route(&request.workspace).ok_or(Refusal::not_run(Reason::NoRoute))?;
-        let class = find_class(route, &request.class)?;
+        let keyed = self.is_keyed(&view, request)?;
         let deadline = now + Duration::from_millis(u64::from(request.left));
-        let workspace = Arc::clone(&route.workspace);
-        let job = Job { request, workspace, class, deadline, cancelled };
+        let workspace = Arc::from(request.workspace.as_str());
+        let rank = wire::rank(request.rank);
+        let repeat = if request.once { Repeat::Once } else { Repeat::Idempotent };
+        let job = Job { request, workspace, rank, repeat, deadline, cancelled };
         if view.closed {
             return Err(Refusal::not_run(Reason::Draining).after(MOVING));
         }
+        if let Some(key) = request.key.filter(|_| keyed) {
+            return self.keyed(&job, KeyHash(key)).await;
+        }
+        // A member that may be evicted must not act on an old configuration.
+        if !self.shared.declares && now >= self.shared.lease.get() {
+            return Err(Refusal::not_run(Reason::NoLease).after(MOVING));
+        }
+        // Registered so that a planned stop waits for it.
+        let _guard = self.shared.inflight.enter(&job.workspace, POOLED, KeyHash(0));
+        self.forward(&job, None).await
+    }
+
+    /// Returns true for a request to a service divided by key, by the route in force here.
+    ///
+    /// A declared route is the sender's alone: it reads the configuration as this member does,
+    /// and which of the two has the newer one is not known.
+    fn is_keyed(&self, view: &View, request: &Request) -> Result<bool, Refusal> {
+        if self.shared.declares {
+            return Ok(request.key.is_some());
+        }
+        let route = view.route(&request.workspace).ok_or(Refusal::not_run(Reason::NoRoute))?;
         match (&route.division, request.key) {
-            (Division::Keyed { .. }, Some(key)) => self.keyed(&job, KeyHash(key)),
             (Division::Keyed { .. }, None) => Err(Refusal::not_run(Reason::BadRequest)),
-            // A member that may be evicted must not act on an old configuration.
-            (Division::Pooled, _) if now >= self.shared.lease.get() => {
-                Err(Refusal::not_run(Reason::NoLease).after(MOVING))
-            }
-            (Division::Pooled, _) => {
-                // Registered so that a planned stop waits for it.
-                let _guard = self.shared.inflight.enter(&job.workspace, POOLED, KeyHash(0));
-                self.forward(&job, None)
-            }
+            (Division::Keyed { .. }, Some(_)) => Ok(true),
+            (Division::Pooled, _) => Ok(false),
         }
     }
 
-    fn keyed(&self, job: &Job<'_>, key: KeyHash) -> Result<Answer, Refusal> {
-        let (grant, guard) = self.grant(job, key)?;
+    async fn keyed(&self, job: &Job<'_>, key: KeyHash) -> Result<Answer, Refusal> {
+        let (grant, guard) = self.grant(job, key).await?;
         self.record(&job.workspace, grant.unit, key);
-        let answer = match job.class.repeat {
-            Repeat::Once => self.once(job, grant),
-            Repeat::Idempotent => self.forward(job, Some(grant)),
+        let answer = match job.repeat {
+            Repeat::Once if !job.request.single => self.once(job, grant).await,
+            Repeat::Once | Repeat::Idempotent => self.forward(job, Some(grant)).await,
         };
         drop(guard);
         answer
     }
 
     /// Waits until this member may serve the key, within bounds.
-    fn grant(&self, job: &Job<'_>, key: KeyHash) -> Result<(Grant, InflightGuard), Refusal> {
+    async fn grant(&self, job: &Job<'_>, key: KeyHash) -> Result<(Grant, InflightGuard), Refusal> {
         let patience = job.deadline.min(clock::now() + HANDOVER);
         loop {
             let now = clock::now();
@@ -195,7 +205,7 @@
             if now >= patience {
                 return Err(Refusal::not_run(Reason::NoLease).after(MOVING));
             }
-            self.shared.wait(patience.since(now).min(Duration::from_millis(50)));
+            self.shared.changed(patience.since(now).min(Duration::from_millis(50))).await;
         }
     }
 
@@ -284,11 +294,6 @@
     }
 }
 
-fn find_class(route: &Route, name: &str) -> Result<Class, Refusal> {
-    let class = route.classes.iter().find(|class| &*class.name == name);
-    class.cloned().ok_or(Refusal::not_run(Reason::BadRequest))
-}
-
 /// Returns the identity of a request.
 pub(crate) fn request_id(request: &Request) -> Result<RequestId, Refusal> {
     let id = <[u8; 16]>::try_from(request.id.as_slice());
--- a/acaciaringd/src/gate/once.rs
+++ b/acaciaringd/src/gate/once.rs
@@ -1,13 +1,14 @@
 //! Requests that may run at most once.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use acaciaring_core::dedup::Begin;
 use acaciaring_core::{Reason, Refusal, RequestId, Verdict};
 use acaciaring_schema::peer::{Answer, DedupEntry, DedupState, Intent, Outcome, call, reply};
 
+use tokio::time::sleep;
+
 use super::{Gate, Grant, Job, replica, request_id};
 use crate::clock;
 use crate::metrics::Counter;
@@ -24,12 +25,12 @@
 
 impl Gate {
     /// Runs a request unless it ran before, or may have run before.
-    pub(super) fn once(&self, job: &Job<'_>, grant: Grant) -> Result<Answer, Refusal> {
+    pub(super) async fn once(&self, job: &Job<'_>, grant: Grant) -> Result<Answer, Refusal> {
         let id = request_id(job.request)?;
         loop {
             let now = clock::now();
             match self.dedup.begin(now, &job.workspace, grant.unit, id) {
-                Begin::Run => return self.first(job, grant, id),
+                Begin::Run => return self.first(job, grant, id).await,
                 Begin::Done(answer) => {
                     self.metrics.count(Counter::RequestsRepeated, 1);
                     return Ok(Answer::clone(&answer));
@@ -42,7 +43,7 @@
                 Begin::Running if job.cancelled.is_set() => {
                     return Err(Refusal::unknown(Reason::Cancelled));
                 }
-                Begin::Running => thread::sleep(LOOK),
+                Begin::Running => sleep(LOOK).await,
             }
         }
     }
@@ -53,9 +54,12 @@
     /// and the standby, now the owner, would not know. Nothing runs here before
     /// the standby has acknowledged the identity, and it acknowledges none once
     /// it has taken over.
-    fn first(&self, job: &Job<'_>, grant: Grant, id: RequestId) -> Result<Answer, Refusal> {
+    async fn first(&self, job: &Job<'_>, grant: Grant, id: RequestId) -> Result<Answer, Refusal> {
         let running = Running { gate: self, job, grant, id, ended: false };
-        let result = self.intend(job, grant, id).and_then(|()| self.forward(job, Some(grant)));
+        let result = match self.intend(job, grant, id).await {
+            Ok(()) => self.forward(job, Some(grant)).await,
+            Err(refusal) => Err(refusal),
+        };
         running.end(&result);
         result
     }
@@ -81,7 +85,7 @@
     }
 
     /// Tells the standby what is about to run.
-    fn intend(&self, job: &Job<'_>, grant: Grant, id: RequestId) -> Result<(), Refusal> {
+    async fn intend(&self, job: &Job<'_>, grant: Grant, id: RequestId) -> Result<(), Refusal> {
         let view = self.shared.view();
         let Some(standby) = replica(&view, &job.workspace, grant) else { return Ok(()) };
         let lost = Refusal::not_run(Reason::StandbyLost).after(STANDBY);
@@ -99,7 +103,7 @@
             id: id.0.to_vec(),
         };
         let timeout = job.deadline.since(clock::now()).min(INTENT);
-        match self.transport.call(address, call::Body::Intent(intent), timeout) {
+        match self.transport.call(address, call::Body::Intent(intent), timeout).await {
             Ok(reply::Body::Intent(reply)) if reply.accepted => Ok(()),
             _ => Err(lost),
         }
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -1,4 +1,4 @@
-//! Waiting of request threads for a place at the upstream.
+//! Waiting of requests for a place at the upstream.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,20 +7,21 @@
 use acaciaring_core::route::Rank;
 use acaciaring_core::{Reason, Refusal, Time, Verdict};
 use acaciaring_schema::peer::Answer;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use parking_lot::Mutex;
+use tokio::sync::oneshot::{self, Receiver, Sender};
+use tokio::time::timeout;
 
 use crate::announce::{Announcement, Phase};
 use crate::clock;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::peer::CancelFlag;
 
-/// Interval at which a waiting thread looks whether its caller has gone away.
+/// Interval at which a waiting request looks whether its time is over.
 const LOOK: Duration = Duration::from_millis(20);
 
 type Decision = Result<(), Refusal>;
 
-/// Admission shared by the request threads.
+/// Admission shared by all requests.
 pub(crate) struct Queue {
     admission: Mutex<Admission<Sender<Decision>>>,
     metrics: Metrics,
@@ -100,7 +101,7 @@
     ///
     /// A refusal as not run: the deadline cannot be met, the queue is full, or
     /// the caller has gone away.
-    pub(crate) fn enter(
+    pub(crate) async fn enter(
         &self,
         rank: Rank,
         deadline: Time,
@@ -108,7 +109,7 @@
         cancelled: &CancelFlag,
     ) -> Result<Place<'_>, Refusal> {
         let start = clock::now();
-        let result = self.admit(rank, deadline, attempt, cancelled);
+        let result = self.admit(rank, deadline, attempt, cancelled).await;
         match &result {
             Ok(place) => self.metrics.time(Timer::Queue, place.start.since(start)),
             Err(Refusal { reason: Reason::Expired, .. }) => {
@@ -120,14 +121,14 @@
         result
     }
 
-    fn admit(
+    async fn admit(
         &self,
         rank: Rank,
         deadline: Time,
         attempt: u64,
         cancelled: &CancelFlag,
     ) -> Result<Place<'_>, Refusal> {
-        let (sender, decision) = bounded(1);
+        let (sender, decision) = oneshot::channel();
         let ticket = Ticket { rank, deadline, attempt };
         let now = clock::now();
         let offer = self.admission.lock().offer(now, ticket, sender);
@@ -135,25 +136,34 @@
             Offer::Start(_) => {}
             Offer::Queued { displaced } => {
                 refuse(displaced);
-                self.wait(&decision, attempt, deadline, cancelled)?;
+                self.wait(decision, attempt, deadline, cancelled).await?;
             }
             Offer::Refused(_, refusal) => return Err(refusal),
         }
         Ok(Place { queue: self, attempt, start: clock::now(), finished: false })
     }
 
-    fn wait(
+    async fn wait(
         &self,
-        decision: &Receiver<Decision>,
+        mut decision: Receiver<Decision>,
         attempt: u64,
         deadline: Time,
         cancelled: &CancelFlag,
     ) -> Result<(), Refusal> {
+        let waiting = Waiting { queue: self, attempt };
         loop {
-            match decision.recv_timeout(LOOK) {
-                Ok(decision) => return decision,
-                Err(RecvTimeoutError::Disconnected) => return Err(Refusal::not_run(Reason::Busy)),
-                Err(RecvTimeoutError::Timeout) => {}
+            let look = async {
+                tokio::select! {
+                    decision = &mut decision => Some(decision),
+                    () = cancelled.cancelled() => None,
+                }
+            };
+            match timeout(LOOK, look).await {
+                Ok(Some(decision)) => {
+                    std::mem::forget(waiting);
+                    return decision.unwrap_or(Err(Refusal::not_run(Reason::Busy)));
+                }
+                Ok(None) | Err(_) => {}
             }
             let now = clock::now();
             let reason = match (cancelled.is_set(), now >= deadline) {
@@ -165,13 +175,14 @@
                 }
             };
             if self.admission.lock().cancel(now, attempt).is_some() {
+                std::mem::forget(waiting);
                 return Err(Refusal::not_run(reason));
             }
             // No longer waiting: the decision is already on its way.
         }
     }
 
-    /// Tells the waiting threads what expired.
+    /// Tells the waiting requests what expired.
     fn notify(&self, now: Time) {
         let expired = self.admission.lock().expire(now);
         refuse(expired);
@@ -190,22 +201,40 @@
     }
 }
 
-/// Tells waiting threads to start.
+/// Tells waiting requests to start.
 fn start(senders: Vec<Sender<Decision>>) {
     for sender in senders {
-        // The thread waits until it has a decision or is out of the queue.
+        // The request waits until it has a decision or is out of the queue.
         let _ = sender.send(Ok(()));
     }
 }
 
-/// Tells waiting threads that they are refused.
+/// Tells waiting requests that they are refused.
 fn refuse(refused: impl IntoIterator<Item = (Sender<Decision>, Refusal)>) {
     for (sender, refusal) in refused {
-        // The thread waits until it has a decision or is out of the queue.
+        // The request waits until it has a decision or is out of the queue.
         let _ = sender.send(Err(refusal));
     }
 }
 
+/// A request that waits; leaves the queue when dropped.
+///
+/// Guards against a caller that leaves while its request waits: the request would be given a
+/// place that nobody frees. A place that was given at that very moment is freed here.
+struct Waiting<'a> {
+    queue: &'a Queue,
+    attempt: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let now = clock::now();
+        if self.queue.admission.lock().cancel(now, self.attempt).is_none() {
+            self.queue.finish(self.attempt, Duration::ZERO, Ending::Refused, None);
+        }
+    }
+}
+
 impl Place<'_> {
     /// Frees the place with what came of the request.
     pub(crate) fn finish(mut self, result: &Result<Answer, Refusal>) {
--- a/acaciaringd/src/handler.rs
+++ b/acaciaringd/src/handler.rs
@@ -12,9 +12,10 @@
 use crossbeam_channel::Sender;
 
 use crate::control::Event;
+use crate::declared::Declarations;
 use crate::gate::Gate;
-use crate::peer::{CancelFlag, Handler};
-use crate::platform::{AppendError, LogClient};
+use crate::peer::{CancelFlag, Handler, Pending};
+use crate::platform::{AppendError, LogService};
 use crate::recent::Recent;
 use crate::status;
 use crate::view::Shared;
@@ -25,7 +26,8 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) recent: Arc<Recent>,
-    pub(crate) log: LogClient,
+    pub(crate) log: Arc<dyn LogService>,
+    pub(crate) declarations: Arc<Declarations>,
 }
 
 impl Handler for PeerHandler {
@@ -34,7 +36,21 @@
         let _ = self.events.send(Event::Datagram(from, datagram));
     }
 
-    fn call(&self, call: call::Body) -> reply::Body {
+    fn call(&self, call: call::Body) -> Pending<'_, reply::Body> {
+        Box::pin(self.serve(call))
+    }
+
+    fn request<'a>(&'a self, request: Request, cancelled: &'a CancelFlag) -> Pending<'a, Answer> {
+        Box::pin(self.run(request, cancelled))
+    }
+}
+
+impl PeerHandler {
+    async fn run(&self, request: Request, cancelled: &CancelFlag) -> Answer {
+        self.gate.run(&request, cancelled).await
+    }
+
+    async fn serve(&self, call: call::Body) -> reply::Body {
         match call {
             call::Body::Vote(vote) => self.tell(Event::Vote(vote)),
             call::Body::Release(release) => self.release(release),
@@ -45,7 +61,8 @@
                 done(true)
             }
             call::Body::Records(records) => reply::Body::Records(self.records(&records)),
-            call::Body::Append(append) => self.append(&append),
+            call::Body::Append(append) => self.append(append).await,
+            call::Body::Declaration(_) => reply::Body::Declaration(self.declarations.newest()),
             call::Body::Status(_) => reply::Body::Status(self.status()),
             // The transport answers these itself.
             call::Body::Request(_)
@@ -55,12 +72,6 @@
         }
     }
 
-    fn request(&self, request: Request, cancelled: &CancelFlag) -> Answer {
-        self.gate.run(&request, cancelled)
-    }
-}
-
-impl PeerHandler {
     fn tell(&self, event: Event) -> reply::Body {
         // Control has ended only when the process is about to exit.
         let _ = self.events.send(event);
@@ -84,8 +95,13 @@
         self.recent.read(records.from, records.max)
     }
 
-    fn append(&self, append: &Append) -> reply::Body {
-        match self.log.append(&append.record) {
+    async fn append(&self, append: Append) -> reply::Body {
+        let log = Arc::clone(&self.log);
+        let job = tokio::task::spawn_blocking(move || log.append(&append.record));
+        let Ok(appended) = job.await else {
+            return reply::Body::Appended(Appended { offset: 0 });
+        };
+        match appended {
             Ok(offset) => reply::Body::Appended(Appended { offset }),
             // Offset 0 tells that the append was not confirmed here either.
             Err(AppendError::Unknown { .. }) => reply::Body::Appended(Appended { offset: 0 }),
--- a/acaciaringd/src/main.rs
+++ b/acaciaringd/src/main.rs
@@ -53,7 +53,7 @@
     if daemon.stop() == 0 { ExitCode::SUCCESS } else { ExitCode::from(CUT_OFF) }
 }
 
-fn fail(error: &dyn std::error::Error) -> ExitCode {
-    error!(%error, "cannot start");
+fn fail(error: &(dyn std::error::Error + 'static)) -> ExitCode {
+    error!(error, "cannot start");
     ExitCode::FAILURE
 }
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -63,11 +63,29 @@
         }
     };
     let hop = Hop { shared, to, attempt, deadline, arrived: false, sent };
+    let mut abandoned = Abandoned { shared, to, attempt, armed: true };
     let outcome = time::timeout_at(deadline, hop.run(patience)).await;
-    outcome.unwrap_or_else(|_| {
-        cancel(shared, to, attempt);
-        RequestOutcome::Lost
-    })
+    abandoned.armed = outcome.is_err();
+    outcome.unwrap_or(RequestOutcome::Lost)
+}
+
+/// Tells the receiver that nobody waits for an attempt, unless it has ended.
+///
+/// Guards against work for a caller that has left: the future of its request is dropped at any
+/// point, and the receiver would go on until the deadline.
+struct Abandoned<'a> {
+    shared: &'a Arc<Shared>,
+    to: SocketAddr,
+    attempt: u64,
+    armed: bool,
+}
+
+impl Drop for Abandoned<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            cancel(self.shared, self.to, self.attempt);
+        }
+    }
 }
 
 /// Reads an answer, past the acknowledgement of its request.
--- a/acaciaringd/src/peer/cancel.rs
+++ b/acaciaringd/src/peer/cancel.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 /// Action of a handler when its request is cancelled.
 type Action = Box<dyn FnOnce() + Send>;
@@ -20,6 +21,7 @@
 struct Shared {
     set: AtomicBool,
     actions: Mutex<Vec<Action>>,
+    notify: Notify,
 }
 
 impl CancelFlag {
@@ -42,10 +44,19 @@
         action();
     }
 
+    /// Waits until the request is cancelled.
+    pub async fn cancelled(&self) {
+        let notified = self.shared.notify.notified();
+        if !self.is_set() {
+            notified.await;
+        }
+    }
+
     /// Cancels the request and runs the actions of its handler.
     pub fn set(&self) {
         let mut actions = self.shared.actions.lock();
         self.shared.set.store(true, Ordering::Release);
+        self.shared.notify.notify_waiters();
         let actions = mem::take(&mut *actions);
         for action in actions {
             action();
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -22,10 +22,11 @@
 mod tls;
 mod traffic;
 mod transport;
+mod trust;
 
 pub use self::attempt::RequestOutcome;
 pub use self::cancel::CancelFlag;
 pub use self::error::{CallError, ConnectError, PeerError};
 pub use self::settings::PeerSettings;
 pub use self::traffic::Traffic;
-pub use self::transport::{Handler, Transport};
+pub use self::transport::{Handler, Pending, Transport};
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -1,21 +1,18 @@
 //! Receiving side of a request: runs it once and keeps its answer.
 
-use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use quinn::SendStream;
-use tokio::sync::oneshot;
 use tokio::time;
-use tracing::{error, info_span};
+use tracing::{Instrument, error, info_span};
 
 use acaciaring_core::attempt::Arrival;
 use acaciaring_schema::peer::{Answer, Arrived, Reason, Reply, Request, Verdict, reply};
 
 use crate::peer::cancel::CancelFlag;
 use crate::peer::frame;
-use crate::peer::lanes::Lane;
 use crate::peer::serve::{encode, write_frame, write_last};
 use crate::peer::transport::Shared;
 use crate::trace::TraceContext;
@@ -35,34 +32,39 @@
             return write_last(shared, send, reply::Body::Answer(refused(arrival))).await;
         }
     };
-    let (sender, mut receiver) = oneshot::channel();
     let arrival = Instant::now();
     let worker = Arc::clone(shared);
-    let job = Box::new(move || {
-        let answer = run(&worker, request, &flag, arrival);
-        let frame = finish(&worker, attempt, answer);
-        // Fails only when the stream's task has gone away; the answer can be fetched.
-        let _ = sender.send(frame);
+    // A task of its own: the answer can be fetched after this stream has broken off.
+    let mut job = tokio::spawn(async move {
+        let answer = run(&worker, request, flag, arrival).await;
+        finish(&worker, attempt, answer)
     });
-    if !shared.lanes.push(Lane::Request, job) {
-        let frame = finish(shared, attempt, not_run(Reason::Busy));
-        return write_frame(send, frame, true).await;
-    }
-    let answered = if let Ok(answered) = time::timeout(ACKNOWLEDGE, &mut receiver).await {
+    let answered = if let Ok(answered) = time::timeout(ACKNOWLEDGE, &mut job).await {
         answered
     } else {
         if let Ok(frame) = encode(shared, reply::Body::Arrived(Arrived {})) {
             write_frame(send, frame, false).await;
         }
-        receiver.await
+        job.await
     };
-    if let Ok(frame) = answered {
-        write_frame(send, frame, true).await;
+    match answered {
+        Ok(frame) => write_frame(send, frame, true).await,
+        Err(error) => error!(attempt, %error, "request ended without answer"),
     }
 }
 
-/// Runs a request on the present thread unless it is cancelled or late.
-fn run(shared: &Shared, mut request: Request, flag: &CancelFlag, arrival: Instant) -> Answer {
+/// Runs a request when it is its turn, unless it is cancelled or late by then.
+async fn run(
+    shared: &Arc<Shared>,
+    mut request: Request,
+    flag: CancelFlag,
+    arrival: Instant,
+) -> Answer {
+    let left = Duration::from_millis(request.left.into());
+    let Ok(turn) = time::timeout(left, shared.lanes.enter()).await else {
+        return not_run(Reason::Expired);
+    };
+    let Some(_turn) = turn else { return not_run(Reason::Busy) };
     let waited = u32::try_from(arrival.elapsed().as_millis()).unwrap_or(u32::MAX);
     request.left = request.left.saturating_sub(waited);
     if flag.is_set() {
@@ -80,11 +82,11 @@
         workspace = %request.workspace,
         attempt = request.attempt,
     );
-    let _entered = span.entered();
-    let answer = catch_unwind(AssertUnwindSafe(|| shared.handler.request(request, flag)));
-    answer.unwrap_or_else(|_| {
-        // The thread lives on and the attempt gets an answer, else the sender would wait in vain.
-        error!("handler of a request panicked");
+    let handler = Arc::clone(&shared.handler);
+    let job = async move { handler.request(request, &flag).await };
+    // A handler that panics must answer, else the sender would wait in vain.
+    tokio::spawn(job.instrument(span)).await.unwrap_or_else(|error| {
+        error!(%error, "handler of a request panicked");
         lost_answer()
     })
 }
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -8,7 +8,6 @@
 use prost::Message;
 use quinn::{Connection, ConnectionError, Incoming, RecvStream, SendStream};
 use snafu::ResultExt;
-use tokio::sync::oneshot;
 use tokio::time;
 use tracing::{debug, error, warn};
 
@@ -18,7 +17,6 @@
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
-use crate::peer::lanes::Lane;
 use crate::peer::link::{Heard, Link, greet};
 use crate::peer::run::serve_request;
 use crate::peer::table;
@@ -135,25 +133,17 @@
     }
 }
 
-/// Runs a call on a thread of its lane and writes the reply.
+/// Runs a call and writes the reply.
 async fn serve_call(shared: &Arc<Shared>, body: call::Body, send: &mut SendStream) {
-    let lane = match body {
-        call::Body::Records(_) | call::Body::Append(_) => Lane::Relay,
-        _ => Lane::Call,
-    };
-    let (sender, receiver) = oneshot::channel();
     let handler = Arc::clone(&shared.handler);
-    let job = Box::new(move || {
-        // Fails only when the stream's task has gone away.
-        let _ = sender.send(handler.call(body));
-    });
-    if !shared.lanes.push(lane, job) {
-        return reset(send, Code::Busy);
-    }
-    match receiver.await {
+    // A task of its own, so that a handler that panics costs this call only.
+    let reply = tokio::spawn(async move { handler.call(body).await });
+    match reply.await {
         Ok(body) => write_last(shared, send, body).await,
-        // The handler panicked; the call may have had an effect.
-        Err(_) => reset(send, Code::None),
+        Err(error) => {
+            error!(%error, "handler of a call panicked; the call may have had an effect");
+            reset(send, Code::None);
+        }
     }
 }
 
--- a/acaciaringd/src/peer/settings.rs
+++ b/acaciaringd/src/peer/settings.rs
@@ -15,8 +15,10 @@
     pub key: PathBuf,
     /// PEM file with the authority that signs all members' certificates.
     pub authority: PathBuf,
-    /// Threads that run requests; each running or queued request of the handler takes one.
+    /// Requests of other members that run at once; further ones wait.
     pub workers: usize,
+    /// Threads that move packets and run the handler.
+    pub threads: usize,
     /// Time within which a request is acknowledged; later the connection is suspect.
     pub arrival: Duration,
     /// Time within which a connection is established.
@@ -33,6 +35,7 @@
             key: PathBuf::new(),
             authority: PathBuf::new(),
             workers: 16,
+            threads: 2,
             arrival: Duration::from_millis(60),
             connect: Duration::from_millis(500),
             limit: 4 << 20,
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -70,7 +70,7 @@
     }
     let link = sender.runtime.block_on(sender.pool.get(sender, to, 0)).unwrap();
     link.conn.send_datagram(Bytes::from_static(&[0xff; 9])).unwrap();
-    let outcome = client.transport.request(to, request("a"), PATIENCE);
+    let outcome = client.transport.blocking_request(to, request("a"), PATIENCE);
     assert_eq!(outcome, RequestOutcome::Answer(echo(request("a"))));
     assert_eq!(client.transport.traffic().connections, 1);
     assert_eq!(server.runs(), 1);
@@ -93,7 +93,8 @@
         let client = Node::echo(authority.settings());
         let to = server.transport.local_addr();
         thread::scope(|scope| {
-            let waiting = scope.spawn(|| client.transport.request(to, request("a"), PATIENCE));
+            let waiting =
+                scope.spawn(|| client.transport.blocking_request(to, request("a"), PATIENCE));
             start.recv_timeout(PATIENCE).unwrap();
             let end = if at_client { &client } else { &server };
             for conn in shared(&end.transport).registry.connections() {
@@ -121,10 +122,10 @@
     let to = server.transport.local_addr();
     thread::scope(|scope| {
         for _ in 0..32 {
-            scope.spawn(|| client.transport.request(to, request("a"), PATIENCE));
+            scope.spawn(|| client.transport.blocking_request(to, request("a"), PATIENCE));
         }
         support::wait_for(|| server.runs() == 16);
-        client.transport.call(to, call::Body::Status(StatusQuery {}), PATIENCE).unwrap();
+        client.transport.blocking_call(to, call::Body::Status(StatusQuery {}), PATIENCE).unwrap();
         for _ in 0..32 {
             go.send(()).unwrap();
         }
--- a/acaciaringd/src/peer/tls.rs
+++ b/acaciaringd/src/peer/tls.rs
@@ -1,4 +1,5 @@
-//! Mutual TLS: both ends of a connection hold a certificate of the same authority.
+//! Mutual TLS: both ends of a connection hold a certificate of the same authority, or one that
+//! the log names.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -7,17 +8,21 @@
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
 use rustls::RootCertStore;
+use rustls::client::WebPkiServerVerifier;
+use rustls::client::danger::ServerCertVerifier;
 use rustls::crypto::{CryptoProvider, ring};
 use rustls::server::WebPkiClientVerifier;
+use rustls::server::danger::ClientCertVerifier;
 use rustls::version::TLS13;
 use rustls_pki_types::pem::PemObject;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use snafu::{ResultExt, ensure};
 
 use crate::peer::error::{
     AuthoritySnafu, CertificateSnafu, NoCertificateSnafu, PeerError, ReadPemSnafu,
 };
 use crate::peer::settings::PeerSettings;
+use crate::peer::trust::{self, ByDigest, Fingerprint, Trusted};
 
 /// Name in every member's certificate.
 pub(super) const SERVER_NAME: &str = "acaciaring";
@@ -44,39 +49,77 @@
 
 /// Configurations of both ends of a connection.
 pub(super) struct Configs {
+    /// Digest of the certificate that this process made for itself, `None` with files.
+    pub fingerprint: Option<Fingerprint>,
+    /// Certificates of others that are accepted without an authority.
+    pub trusted: Arc<Trusted>,
     /// For connections that peers open.
     pub server: ServerConfig,
     /// For connections that this process opens.
     pub client: ClientConfig,
 }
 
-/// Reads certificates and key and makes the configurations of both ends.
+/// Makes the configurations of both ends, by the files of the settings or by an own certificate.
 pub(super) fn configs(settings: &PeerSettings) -> Result<Configs, PeerError> {
     let provider = Arc::new(ring::default_provider());
-    let roots = Arc::new(authority(&settings.authority)?);
+    let trusted = Arc::new(Trusted::default());
+    let own = settings.authority.as_os_str().is_empty();
+    let parties =
+        if own { by_digest(&provider, &trusted)? } else { by_files(settings, &provider)? };
+    let fingerprint = parties.chain.first().filter(|_| own).map(trust::fingerprint);
     let transport = Arc::new(transport());
-    let mut server = server(settings, &provider, &roots)?;
+    let mut server = server(settings, &provider, &parties)?;
     server.transport_config(Arc::clone(&transport));
-    let mut client = client(settings, provider, roots)?;
+    let mut client = client(settings, provider, parties)?;
     client.transport_config(transport);
-    Ok(Configs { server, client })
+    Ok(Configs { fingerprint, trusted, server, client })
+}
+
+/// What a process shows of itself, and how it judges others.
+struct Parties {
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    clients: Arc<dyn ClientCertVerifier>,
+    servers: Arc<dyn ServerCertVerifier>,
+}
+
+fn by_files(settings: &PeerSettings, provider: &Arc<CryptoProvider>) -> Result<Parties, PeerError> {
+    let roots = Arc::new(authority(&settings.authority)?);
+    let clients =
+        WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(provider))
+            .build()
+            .map_err(|error| unsupported(&error))?;
+    let servers = WebPkiServerVerifier::builder_with_provider(roots, Arc::clone(provider))
+        .build()
+        .map_err(|error| unsupported(&error))?;
+    let (chain, key) = identity(settings)?;
+    Ok(Parties { chain, key, clients, servers })
+}
+
+fn by_digest(provider: &Arc<CryptoProvider>, trusted: &Arc<Trusted>) -> Result<Parties, PeerError> {
+    let names = vec![SERVER_NAME.to_owned()];
+    let own = rcgen::generate_simple_self_signed(names).map_err(|error| unsupported(&error))?;
+    let key = PrivatePkcs8KeyDer::from(own.signing_key.serialize_der());
+    let verifier =
+        Arc::new(ByDigest { trusted: Arc::clone(trusted), provider: Arc::clone(provider) });
+    Ok(Parties {
+        chain: vec![own.cert.der().clone()],
+        key: key.into(),
+        clients: Arc::clone(&verifier) as _,
+        servers: verifier,
+    })
 }
 
 fn server(
     settings: &PeerSettings,
     provider: &Arc<CryptoProvider>,
-    roots: &Arc<RootCertStore>,
+    parties: &Parties,
 ) -> Result<ServerConfig, PeerError> {
-    let verifier =
-        WebPkiClientVerifier::builder_with_provider(Arc::clone(roots), Arc::clone(provider))
-            .build()
-            .map_err(|error| unsupported(&error))?;
-    let (chain, key) = identity(settings)?;
     let mut tls = rustls::ServerConfig::builder_with_provider(Arc::clone(provider))
         .with_protocol_versions(&[&TLS13])
         .map_err(|error| unsupported(&error))?
-        .with_client_cert_verifier(verifier)
-        .with_single_cert(chain, key)
+        .with_client_cert_verifier(Arc::clone(&parties.clients))
+        .with_single_cert(parties.chain.clone(), parties.key.clone_key())
         .context(CertificateSnafu { path: &settings.certificate })?;
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let tls = QuicServerConfig::try_from(tls).map_err(|error| unsupported(&error))?;
@@ -86,14 +129,14 @@
 fn client(
     settings: &PeerSettings,
     provider: Arc<CryptoProvider>,
-    roots: Arc<RootCertStore>,
+    parties: Parties,
 ) -> Result<ClientConfig, PeerError> {
-    let (chain, key) = identity(settings)?;
     let mut tls = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&TLS13])
         .map_err(|error| unsupported(&error))?
-        .with_root_certificates(roots)
-        .with_client_auth_cert(chain, key)
+        .dangerous()
+        .with_custom_certificate_verifier(parties.servers)
+        .with_client_auth_cert(parties.chain, parties.key)
         .context(CertificateSnafu { path: &settings.certificate })?;
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let tls = QuicClientConfig::try_from(tls).map_err(|error| unsupported(&error))?;
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -1,6 +1,8 @@
 //! The transport and what its parts share.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -29,13 +31,14 @@
 use crate::peer::table::Table;
 use crate::peer::tls::{self, Configs};
 use crate::peer::traffic::{Registry, Traffic};
-
-/// Threads that move packets.
-const THREADS: usize = 2;
+use crate::peer::trust::{Fingerprint, Trusted};
 
 /// Time for telling peers that this process stops.
 const FAREWELL: Duration = Duration::from_millis(500);
 
+/// Outcome of a handler that may wait.
+pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
 /// What a member does with the messages of others.
 pub trait Handler: Send + Sync + 'static {
     /// Takes in a datagram; must not block, for it runs on a thread that moves packets.
@@ -43,11 +46,11 @@
     /// A reply sent to `from` goes back on the connection on which the datagram came.
     fn datagram(&self, from: SocketAddr, datagram: Datagram);
 
-    /// Answers a call; may block.
-    fn call(&self, call: call::Body) -> reply::Body;
+    /// Answers a call; may wait, must not block.
+    fn call(&self, call: call::Body) -> Pending<'_, reply::Body>;
 
-    /// Runs a request; may block. `request.left` is the time left now.
-    fn request(&self, request: Request, cancelled: &CancelFlag) -> Answer;
+    /// Runs a request; may wait, must not block. `request.left` is the time left now.
+    fn request<'a>(&'a self, request: Request, cancelled: &'a CancelFlag) -> Pending<'a, Answer>;
 }
 
 /// What the tasks of a transport share.
@@ -59,6 +62,10 @@
     /// Endpoint on which this process listens; connections start from it too.
     pub endpoint: Endpoint,
     pub client: ClientConfig,
+    /// Digest of the certificate that this process made for itself.
+    pub fingerprint: Option<Fingerprint>,
+    /// Certificates that are accepted without an authority.
+    pub trusted: Arc<Trusted>,
     pub runtime: Handle,
     pub pool: Pool,
     pub table: Table,
@@ -116,14 +123,14 @@
         handler: Arc<dyn Handler>,
         metrics: Metrics,
     ) -> Result<Self, PeerError> {
-        let Configs { server, client } = tls::configs(&settings)?;
+        let Configs { fingerprint, trusted, server, client } = tls::configs(&settings)?;
         let runtime = Builder::new_multi_thread()
-            .worker_threads(THREADS)
-            .thread_name("peer-packets")
+            .worker_threads(settings.threads)
+            .thread_name("traffic")
             .enable_all()
             .build()
             .context(ThreadsSnafu)?;
-        let lanes = Lanes::start(settings.workers).context(ThreadsSnafu)?;
+        let lanes = Lanes::new(settings.workers);
         let address = settings.address;
         let entered = runtime.enter();
         let endpoint = Endpoint::server(server, address).context(BindSnafu { address })?;
@@ -135,6 +142,8 @@
             process: rand::random(),
             endpoint,
             client,
+            fingerprint,
+            trusted,
             runtime: runtime.handle().clone(),
             pool: Pool::default(),
             table: Table::default(),
@@ -166,6 +175,12 @@
         }
     }
 
+    /// Returns the handle of the threads for traffic.
+    #[must_use]
+    pub fn runtime(&self) -> &Handle {
+        &self.inner.shared.runtime
+    }
+
     /// Makes a call and waits for the reply, at most `timeout`.
     ///
     /// Requests go through [`Transport::request`] instead.
@@ -174,7 +189,7 @@
     ///
     /// Fails without a reply; [`CallError::may_have_run`] tells whether the
     /// member may have handled the call.
-    pub fn call(
+    pub async fn call(
         &self,
         to: SocketAddr,
         call: call::Body,
@@ -184,20 +199,52 @@
         if shared.is_stopped() {
             return Err(CallError::Unreachable { peer: to, source: ConnectError::Stopped });
         }
-        shared.runtime.block_on(exchange::call(shared, to, call, timeout))
+        exchange::call(shared, to, call, timeout).await
+    }
+
+    /// Does the same as [`Transport::call`] for a thread that may block.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Transport::call`].
+    pub fn blocking_call(
+        &self,
+        to: SocketAddr,
+        call: call::Body,
+        timeout: Duration,
+    ) -> Result<reply::Body, CallError> {
+        self.runtime().block_on(self.call(to, call, timeout))
     }
 
     /// Sends a request and waits for its answer, at most `left`.
     ///
     /// The sender draws `request.attempt` at random for each try and never
     /// uses it again; zero is reserved. `request.left` is set here.
-    #[must_use]
-    pub fn request(&self, to: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
+    ///
+    /// When the future is dropped before it is ready, the member is told that the caller has
+    /// gone away.
+    pub async fn request(
+        &self,
+        to: SocketAddr,
+        request: Request,
+        left: Duration,
+    ) -> RequestOutcome {
         let shared = &self.inner.shared;
         if shared.is_stopped() {
             return RequestOutcome::NotDelivered;
         }
-        shared.runtime.block_on(attempt::request(shared, to, request, left))
+        attempt::request(shared, to, request, left).await
+    }
+
+    /// Does the same as [`Transport::request`] for a thread that may block.
+    #[must_use]
+    pub fn blocking_request(
+        &self,
+        to: SocketAddr,
+        request: Request,
+        left: Duration,
+    ) -> RequestOutcome {
+        self.runtime().block_on(self.request(to, request, left))
     }
 
     /// Tells a member, without waiting, that the caller of an attempt has gone away.
@@ -214,6 +261,17 @@
         self.inner.shared.pool.connected(to)
     }
 
+    /// Returns the digest of the certificate that this process made for itself, empty with an authority.
+    #[must_use]
+    pub fn fingerprint(&self) -> &[u8] {
+        self.inner.shared.fingerprint.as_ref().map_or(&[], |print| print.as_slice())
+    }
+
+    /// Replaces the digests of certificates that are accepted; without effect with an authority.
+    pub fn trust<'a>(&self, prints: impl Iterator<Item = &'a [u8]>) {
+        self.inner.shared.trusted.set(prints);
+    }
+
     /// Returns the bytes moved so far.
     #[must_use]
     pub fn traffic(&self) -> Traffic {
--- /dev/null
+++ b/acaciaringd/src/peer/trust.rs
@@ -0,0 +1,159 @@
+//! Certificates that members make for themselves, known by their digests.
+//!
+//! A member states the digest of its certificate in the log; peers accept what the log names.
+//! So no files and no shared secret are needed, and an identity that the log has ended is
+//! refused at the handshake.
+
+use std::collections::HashSet;
+use std::fmt::{self, Debug, Formatter};
+use std::sync::Arc;
+
+use parking_lot::RwLock;
+use ring::digest::{SHA256, digest};
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::{CryptoProvider, verify_tls13_signature};
+use rustls::server::danger::{ClientCertVerified, ClientCertVerifier};
+use rustls::{
+    CertificateError, DigitallySignedStruct, DistinguishedName, Error, PeerIncompatible,
+    SignatureScheme,
+};
+use rustls_pki_types::{CertificateDer, ServerName, UnixTime};
+
+/// Length of a digest, bytes.
+const DIGEST: usize = 32;
+
+/// SHA-256 of a certificate.
+pub(super) type Fingerprint = [u8; DIGEST];
+
+/// Returns the digest of a certificate.
+pub(super) fn fingerprint(certificate: &CertificateDer<'_>) -> Fingerprint {
+    let mut print = [0; DIGEST];
+    print.copy_from_slice(digest(&SHA256, certificate).as_ref());
+    print
+}
+
+/// Digests of the certificates that are accepted.
+#[derive(Debug, Default)]
+pub(super) struct Trusted(RwLock<HashSet<Fingerprint>>);
+
+impl Trusted {
+    /// Replaces what is accepted; entries of another length are passed over.
+    pub(super) fn set<'a>(&self, prints: impl Iterator<Item = &'a [u8]>) {
+        let prints = prints.filter_map(|print| Fingerprint::try_from(print).ok()).collect();
+        *self.0.write() = prints;
+    }
+
+    fn check(&self, certificate: &CertificateDer<'_>) -> Result<(), Error> {
+        if self.0.read().contains(&fingerprint(certificate)) {
+            return Ok(());
+        }
+        Err(Error::InvalidCertificate(CertificateError::ApplicationVerificationFailure))
+    }
+}
+
+/// Accepts certificates by their digests, at both ends of a connection.
+pub(super) struct ByDigest {
+    pub(super) trusted: Arc<Trusted>,
+    pub(super) provider: Arc<CryptoProvider>,
+}
+
+impl Debug for ByDigest {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        out.debug_struct("ByDigest").field("trusted", &self.trusted).finish_non_exhaustive()
+    }
+}
+
+impl ByDigest {
+    fn verify(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn schemes(&self) -> Vec<SignatureScheme> {
+        self.provider.signature_verification_algorithms.supported_schemes()
+    }
+}
+
+/// Returns the refusal of an older version of TLS, which QUIC does not use.
+fn older() -> Result<HandshakeSignatureValid, Error> {
+    Err(Error::PeerIncompatible(PeerIncompatible::Tls12NotOffered))
+}
+
+impl ServerCertVerifier for ByDigest {
+    fn verify_server_cert(
+        &self,
+        certificate: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _name: &ServerName<'_>,
+        _response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, Error> {
+        self.trusted.check(certificate)?;
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _message: &[u8],
+        _certificate: &CertificateDer<'_>,
+        _signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        older()
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        self.verify(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.schemes()
+    }
+}
+
+impl ClientCertVerifier for ByDigest {
+    fn root_hint_subjects(&self) -> &[DistinguishedName] {
+        &[]
+    }
+
+    fn verify_client_cert(
+        &self,
+        certificate: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _now: UnixTime,
+    ) -> Result<ClientCertVerified, Error> {
+        self.trusted.check(certificate)?;
+        Ok(ClientCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _message: &[u8],
+        _certificate: &CertificateDer<'_>,
+        _signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        older()
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        self.verify(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.schemes()
+    }
+}
--- a/acaciaringd/src/platform/mod.rs
+++ b/acaciaringd/src/platform/mod.rs
@@ -84,6 +84,38 @@
     },
 }
 
+/// Append-only log service, as the process uses it; its calls block.
+pub trait LogService: Send + Sync + 'static {
+    /// Appends a record and returns its offset, the first of which is 1.
+    ///
+    /// # Errors
+    ///
+    /// `Refused` when the record was surely not appended, otherwise `Unknown`.
+    fn append(&self, record: &[u8]) -> Result<Offset, AppendError>;
+
+    /// Reads at most `max` records from offset `from`; waits up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no valid answer; a read can be repeated.
+    fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Batch, ReadError>;
+
+    /// Drops the records below an offset, which a snapshot covers.
+    ///
+    /// A service that drops old records by itself does nothing.
+    fn trim(&self, _before: Offset) {}
+}
+
+impl LogService for LogClient {
+    fn append(&self, record: &[u8]) -> Result<Offset, AppendError> {
+        Self::append(self, record)
+    }
+
+    fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Batch, ReadError> {
+        Self::read(self, from, max, wait)
+    }
+}
+
 /// Client of the log service; clones share their connections.
 #[derive(Clone)]
 pub struct LogClient {
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -10,7 +10,7 @@
 use tracing::{info, warn};
 
 use crate::control::Event;
-use crate::platform::LogClient;
+use crate::platform::LogService;
 
 /// Records in one read.
 const LIMIT: usize = 512;
@@ -29,7 +29,7 @@
 
 /// Starts the thread; it sends each batch as an event and ends with the receiver.
 pub(crate) fn start(
-    log: LogClient,
+    log: Arc<dyn LogService>,
     wait: Duration,
     relay: Relay,
     wanted: Wanted,
@@ -43,7 +43,7 @@
 }
 
 struct Reader {
-    log: LogClient,
+    log: Arc<dyn LogService>,
     /// Time for which a read waits for a new record.
     wait: Duration,
     relay: Relay,
--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -1,6 +1,5 @@
 //! Requests to services that are divided by key.
 
-use std::thread;
 use std::time::Duration;
 
 use acaciaring_core::retry::{Failure, RetryDecision};
@@ -8,6 +7,7 @@
 use acaciaring_core::state::Assignment;
 use acaciaring_core::{MemberId, Reason, Refusal, Time, Verdict};
 use acaciaring_schema::peer::Answer;
+use tokio::time::sleep;
 
 use super::{COME_BACK, Plan, Router, Try};
 use crate::clock;
@@ -47,7 +47,7 @@
 
 impl Router {
     /// Brings a request to the owner of its key.
-    pub(super) fn keyed(&self, plan: &Plan) -> Result<Answer, Refusal> {
+    pub(super) async fn keyed(&self, plan: &Plan) -> Result<Answer, Refusal> {
         let now = clock::now();
         let mut search = Search {
             soon: plan.deadline.min(now + PATIENCE),
@@ -60,7 +60,7 @@
         };
         let mut place = None;
         loop {
-            if let Some(answer) = self.search(plan, &mut search)? {
+            if let Some(answer) = self.search(plan, &mut search).await? {
                 return Ok(answer);
             }
             self.note_outage(plan, &search);
@@ -72,19 +72,20 @@
                 return Err(search.give_up());
             }
             if search.hint.is_none() {
-                thread::sleep(if place.is_some() { LONG_PAUSE } else { PAUSE });
+                let pause = if place.is_some() { LONG_PAUSE } else { PAUSE };
+                sleep(pause).await;
             }
         }
     }
 
     /// Makes one try, if there is a member to try; an error is the final answer.
-    fn search(&self, plan: &Plan, search: &mut Search) -> Result<Option<Answer>, Refusal> {
+    async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Option<Answer>, Refusal> {
         let view = self.shared.view();
         let Some(target) = self.target(&view, plan, search) else { return Ok(None) };
         self.count_try(search);
         search.tries += 1;
         search.hint = None;
-        match self.attempt(plan, &view, target) {
+        match self.attempt(plan, &view, target).await {
             Try::Whole(answer) => {
                 self.suspects.clear(target);
                 self.end_outage(&view, plan);
@@ -94,7 +95,7 @@
                 self.suspects.clear(target);
                 search.refused(plan, refusal)?;
                 if refusal.verdict == Verdict::Unknown {
-                    self.repeat(plan, search)?;
+                    self.repeat(plan, search).await?;
                 }
                 let now = clock::now();
                 if refusal.reason == Reason::Draining {
@@ -110,7 +111,7 @@
             Try::Lost => {
                 self.suspects.add(clock::now(), target);
                 search.lose(Refusal::unknown(Reason::LostAnswer));
-                self.repeat(plan, search)?;
+                self.repeat(plan, search).await?;
             }
         }
         Ok(None)
@@ -148,9 +149,10 @@
     /// Guards against an upstream that answers nothing while it works: each request would run
     /// there as often as fits into the search. A request that may run once needs no leave, for
     /// its further tries only ask what became of it.
-    fn repeat(&self, plan: &Plan, search: &mut Search) -> Result<(), Refusal> {
+    async fn repeat(&self, plan: &Plan, search: &mut Search) -> Result<(), Refusal> {
         if plan.class.repeat == Repeat::Once {
-            return Ok(());
+            // Nobody remembers a request whose identity is used once: a second try could run it again.
+            return if plan.class.single { Err(search.give_up()) } else { Ok(()) };
         }
         search.repeats += 1;
         let now = clock::now();
@@ -163,7 +165,7 @@
             elsewhere: false,
         };
         match self.budgets.next(now, &plan.route.workspace, &plan.class.name, &failure) {
-            RetryDecision::Retry { after } => thread::sleep(after),
+            RetryDecision::Retry { after } => sleep(after).await,
             RetryDecision::GiveUp => return Err(search.give_up()),
         }
         Ok(())
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod lingerers;
 mod outages;
 mod pooled;
+mod shares;
 mod suspects;
 
 use std::net::SocketAddr;
@@ -22,9 +23,10 @@
 pub(crate) use self::budgets::Budgets;
 pub(crate) use self::lingerers::Lingerers;
 pub(crate) use self::outages::Outages;
+pub(crate) use self::shares::Shares;
 pub(crate) use self::suspects::Suspects;
 use crate::clock;
-use crate::entry::{EntryAnswer, EntryRequest, Service};
+use crate::entry::{EntryAnswer, EntryRequest};
 use crate::gate::Gate;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::peer::{CancelFlag, RequestOutcome, Transport};
@@ -48,6 +50,8 @@
     pub(crate) outages: Outages,
     pub(crate) metrics: Metrics,
     pub(crate) lingerers: Lingerers,
+    /// Shares of routes that are shared out.
+    pub(crate) shares: Shares,
 }
 
 /// What is known of a caller's request before it is sent on.
@@ -79,11 +83,12 @@
     Lost,
 }
 
-impl Service for Router {
-    fn handle(&self, request: EntryRequest) -> EntryAnswer {
+impl Router {
+    /// Answers a caller's request; when the future is dropped, its work is cancelled.
+    pub(crate) async fn handle(&self, request: EntryRequest) -> EntryAnswer {
         let received = request.received;
         let answer = match self.plan(request) {
-            Ok(plan) => self.route(&plan),
+            Ok(plan) => self.route(&plan).await,
             Err(answer) => answer,
         };
         debug!(status = answer.status, verdict = answer.verdict.as_str(), "request ended");
@@ -91,7 +96,8 @@
         answer
     }
 
-    fn told(&self, verdict: Verdict) {
+    /// Counts the verdict of a request, also of one that the entry refuses itself.
+    pub(crate) fn told(&self, verdict: Verdict) {
         let counter = match verdict {
             Verdict::Answered => Counter::RequestsAnswered,
             Verdict::NotRun => Counter::RequestsNotRun,
@@ -99,14 +105,13 @@
         };
         self.metrics.count(counter, 1);
     }
-}
 
-impl Router {
     fn plan(&self, request: EntryRequest) -> Result<Plan, EntryAnswer> {
         let view = self.shared.view();
         self.check_lease()?;
         let route = view.routes.find(request.host.as_deref(), &request.path);
-        let route = Arc::clone(route.ok_or(Refusal::not_run(Reason::NoRoute))?);
+        let route = Arc::clone(route.ok_or_else(|| self.unrouted())?);
+        let route = self.shares.pick(route);
         if request.body.len() as u64 > route.body {
             let refusal = Refusal::not_run(Reason::BadRequest);
             return Err(EntryAnswer::refusal_with(refusal, TOO_LARGE));
@@ -129,17 +134,25 @@
     /// configuration: `accepted` waits for all members but the evicted ones, so
     /// a member that may be evicted must not act on what it knows.
     fn check_lease(&self) -> Result<(), Refusal> {
-        if clock::now() < self.shared.lease.get() {
+        if self.shared.declares || clock::now() < self.shared.lease.get() {
             return Ok(());
         }
         Err(Refusal::not_run(Reason::NoLease).after(COME_BACK))
     }
 
-    fn route(&self, plan: &Plan) -> EntryAnswer {
+    /// Returns the refusal of a request without route; a member without configuration knows of none.
+    fn unrouted(&self) -> Refusal {
+        if self.shared.declares && !self.shared.is_ready() {
+            return Refusal::not_run(Reason::NoLease).after(COME_BACK);
+        }
+        Refusal::not_run(Reason::NoRoute)
+    }
+
+    async fn route(&self, plan: &Plan) -> EntryAnswer {
         self.budgets.first_try(clock::now(), &plan.route.workspace, &plan.class.name);
         let answer = match plan.route.division {
-            Division::Keyed { .. } => self.keyed(plan),
-            Division::Pooled => self.pooled(plan),
+            Division::Keyed { .. } => self.keyed(plan).await,
+            Division::Pooled => self.pooled(plan).await,
         };
         match answer {
             Ok(answer) => whole(answer),
@@ -148,7 +161,7 @@
     }
 
     /// Makes one try at a member.
-    fn attempt(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
+    async fn attempt(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
         let left = plan.deadline.since(clock::now());
         let request = Request {
             attempt: rand::rng().random(),
@@ -158,10 +171,10 @@
             ..plan.request.clone()
         };
         let outcome = if view.me == Some(target) {
-            RequestOutcome::Answer(self.gate.run(&request, &CancelFlag::default()))
+            RequestOutcome::Answer(self.gate.run(&request, &CancelFlag::default()).await)
         } else {
             match view.peer(target) {
-                Some(address) => self.hop(address, request, left),
+                Some(address) => self.hop(address, request, left).await,
                 None => RequestOutcome::NotDelivered,
             }
         };
@@ -171,9 +184,9 @@
 
 impl Router {
     /// Makes a try at another member.
-    fn hop(&self, address: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
+    async fn hop(&self, address: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
         let start = clock::now();
-        let outcome = self.transport.request(address, request, left);
+        let outcome = self.transport.request(address, request, left).await;
         self.metrics.time(Timer::Peer, clock::now().since(start));
         outcome
     }
@@ -231,6 +244,8 @@
         headers: wire::header_list(&request.headers),
         body: request.body,
         once: class.repeat == acaciaring_core::route::Repeat::Once,
+        rank: wire::rank_number(class.rank),
+        single: class.single,
         trace: request.trace.to_string(),
         ..Request::default()
     }
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -1,12 +1,11 @@
 //! Requests to services that are not divided by key.
 
-use std::thread;
-
 use acaciaring_core::choice::Sent;
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::state::Member;
 use acaciaring_core::{MemberId, Reason, Refusal, Time, Verdict};
 use acaciaring_schema::peer::Answer;
+use tokio::time::sleep;
 
 use super::{COME_BACK, Load, Plan, Router, Try};
 use crate::clock;
@@ -24,7 +23,7 @@
 
 impl Router {
     /// Brings a request to one of the members whose upstream serves the workspace.
-    pub(super) fn pooled(&self, plan: &Plan) -> Result<Answer, Refusal> {
+    pub(super) async fn pooled(&self, plan: &Plan) -> Result<Answer, Refusal> {
         let mut progress = Progress::default();
         loop {
             let view = self.shared.view();
@@ -33,22 +32,22 @@
             let Some(target) = self.choose(now, &candidates, &progress.tried) else {
                 return Err(progress.settle(self.none(now, &candidates)));
             };
-            let refusal = match self.timed(plan, &view, target) {
+            let refusal = match self.timed(plan, &view, target).await {
                 Try::Whole(answer) => return Ok(answer),
                 Try::Refused { refusal, .. } => refusal,
                 Try::Undelivered => Refusal::not_run(Reason::Unreachable).after(COME_BACK),
                 Try::Lost => Refusal::unknown(Reason::LostAnswer),
             };
             progress.note(target, refusal);
-            self.again(plan, &candidates, refusal, &mut progress)?;
+            self.again(plan, &candidates, refusal, &mut progress).await?;
             self.metrics.count(Counter::RequestsRetried, 1);
         }
     }
 
     /// Makes a try and lets the choice learn from it.
-    fn timed(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
+    async fn timed(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
         let flight = Flight::new(self, target);
-        let outcome = self.attempt(plan, view, target);
+        let outcome = self.attempt(plan, view, target).await;
         flight.end(&outcome);
         outcome
     }
@@ -67,7 +66,7 @@
     }
 
     /// Waits for the next try; an error is the final answer.
-    fn again(
+    async fn again(
         &self,
         plan: &Plan,
         candidates: &[MemberId],
@@ -93,7 +92,7 @@
             // Each member was tried; after the pause they may be tried again.
             progress.tried.clear();
         }
-        thread::sleep(after);
+        sleep(after).await;
         Ok(())
     }
 }
--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -21,6 +21,8 @@
 //! are not used again; that bound is shorter than the upstream's own.
 
 mod answer;
+mod cancel;
+mod outlet;
 pub(crate) mod transport;
 
 use std::fmt::{self, Debug, Formatter};
@@ -37,6 +39,8 @@
 use crate::header::{self, Headers};
 use crate::trace::{Hex, TRACEPARENT, TraceContext};
 pub use crate::upstream::answer::UpstreamAnswer;
+pub(crate) use crate::upstream::outlet::Direct;
+pub use crate::upstream::outlet::{Outlet, OutletCall};
 use crate::upstream::transport::{Literal, Marking};
 
 /// Settings of the client of the upstream.
--- /dev/null
+++ b/acaciaringd/src/upstream/outlet.rs
@@ -0,0 +1,128 @@
+//! The way out to the upstream: what the gate asks of a client of the upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acaciaring_core::{Reason, Refusal, RequestId, Verdict};
+use tokio::task::spawn_blocking;
+use tracing::error;
+
+use crate::header::Headers;
+use crate::peer::{CancelFlag, Pending};
+use crate::upstream::cancel::Canceller;
+use crate::upstream::{Fence, Upstream, UpstreamAnswer, UpstreamCall};
+
+/// One try of a request at the upstream.
+#[derive(Debug, Clone)]
+pub struct OutletCall {
+    /// Address that the upstream has announced.
+    pub address: SocketAddr,
+    /// HTTP method.
+    pub method: String,
+    /// Path with the query.
+    pub path: String,
+    /// Headers of the caller.
+    pub headers: Headers,
+    /// Whole body.
+    pub body: Vec<u8>,
+    /// Identity of the request.
+    pub id: RequestId,
+    /// Number of this try.
+    pub attempt: u64,
+    /// Time that is left.
+    pub left: Duration,
+    /// Proof of ownership, for services divided by key.
+    pub fence: Option<Fence>,
+    /// Trace context of this member, a `traceparent` value.
+    pub trace: String,
+    /// Start of the upstream that is meant, empty where it names none.
+    pub instance: Arc<str>,
+}
+
+/// Client of the upstream.
+pub trait Outlet: Send + Sync + 'static {
+    /// Sends a request once and waits for its whole answer, at most `left`.
+    ///
+    /// It is `NotRun` only if the upstream never got it or says so. When the request is
+    /// cancelled or the future dropped, the upstream is told or its connection closed.
+    fn send<'a>(
+        &'a self,
+        call: OutletCall,
+        cancelled: &'a CancelFlag,
+    ) -> Pending<'a, Result<UpstreamAnswer, Refusal>>;
+}
+
+/// Outlet over the project's own protocol, whose client blocks a thread for each call.
+pub(crate) struct Direct {
+    upstream: Arc<Upstream>,
+    canceller: Canceller,
+}
+
+impl Direct {
+    /// Makes an outlet over a client.
+    pub(crate) fn new(upstream: Upstream) -> Self {
+        let upstream = Arc::new(upstream);
+        Self { canceller: Canceller::start(Arc::clone(&upstream)), upstream }
+    }
+
+    async fn run(
+        &self,
+        call: OutletCall,
+        cancelled: &CancelFlag,
+    ) -> Result<UpstreamAnswer, Refusal> {
+        let (address, attempt) = (call.address, call.attempt);
+        self.canceller.watch(cancelled, address, attempt);
+        let mut left = Left { canceller: &self.canceller, address, attempt, armed: true };
+        let upstream = Arc::clone(&self.upstream);
+        let job = spawn_blocking(move || upstream.send(&borrow(&call)));
+        let result = job.await.unwrap_or_else(|error| {
+            error!(%error, "client of the upstream panicked");
+            Err(Refusal::unknown(Reason::LostAnswer))
+        });
+        left.armed =
+            result.as_ref().is_err_and(|refusal: &Refusal| refusal.verdict == Verdict::Unknown);
+        result
+    }
+}
+
+impl Outlet for Direct {
+    fn send<'a>(
+        &'a self,
+        call: OutletCall,
+        cancelled: &'a CancelFlag,
+    ) -> Pending<'a, Result<UpstreamAnswer, Refusal>> {
+        Box::pin(self.run(call, cancelled))
+    }
+}
+
+/// Tells the upstream that nobody waits for a try, unless it has ended.
+struct Left<'a> {
+    canceller: &'a Canceller,
+    address: SocketAddr,
+    attempt: u64,
+    armed: bool,
+}
+
+impl Drop for Left<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.canceller.cancel(self.address, self.attempt);
+        }
+    }
+}
+
+fn borrow(call: &OutletCall) -> UpstreamCall<'_> {
+    UpstreamCall {
+        address: call.address,
+        method: &call.method,
+        path: &call.path,
+        headers: &call.headers,
+        body: &call.body,
+        id: call.id,
+        attempt: call.attempt,
+        left: call.left,
+        fence: call.fence,
+        trace: &call.trace,
+    }
+}
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -3,14 +3,15 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use acaciaring_core::route::{Route, Routes};
 use acaciaring_core::state::{Assignment, Member, State};
 use acaciaring_core::{KeyHash, MemberId, Name, Offset, Time, Token, UnitId};
 use arc_swap::ArcSwap;
-use parking_lot::{Condvar, Mutex};
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::inflight::Inflight;
 
@@ -27,6 +28,8 @@
     pub(crate) clock: u64,
     /// When the reading was received, so the upstream took it no later.
     pub(crate) received: Time,
+    /// Identity of this start of the upstream, empty where it names none.
+    pub(crate) instance: Arc<str>,
 }
 
 impl Link {
@@ -141,27 +144,43 @@
     pub(crate) refused: SharedTime,
     /// Requests in flight at the gate.
     pub(crate) inflight: Arc<Inflight>,
-    change: Mutex<u64>,
-    changed: Condvar,
+    /// True when the configuration is declared outside of the log.
+    ///
+    /// Then no lease vouches for what this member knows of it, and none is needed to act on it.
+    pub(crate) declares: bool,
+    /// True once this process is told to stop.
+    pub(crate) stopping: AtomicBool,
+    /// True once this member knows a configuration.
+    pub(crate) configured: AtomicBool,
+    change: Notify,
 }
 
 impl Shared {
+    /// Makes what a process shares; `declares` where its configuration stands outside of the log.
+    pub(crate) fn new(declares: bool) -> Self {
+        Self { declares, ..Self::default() }
+    }
+
     /// Returns the view in force.
     pub(crate) fn view(&self) -> Arc<View> {
         self.view.load_full()
     }
 
+    /// Returns true while callers are to come to this member.
+    pub(crate) fn is_ready(&self) -> bool {
+        let configured = !self.declares || self.configured.load(Ordering::Acquire);
+        configured && !self.stopping.load(Ordering::Acquire)
+    }
+
     /// Publishes a view and wakes those that wait for a change.
     pub(crate) fn publish(&self, view: View) {
         self.view.store(Arc::new(view));
-        *self.change.lock() += 1;
-        self.changed.notify_all();
+        self.change.notify_waiters();
     }
 
     /// Waits for the next published view, at most `bound`.
-    pub(crate) fn wait(&self, bound: Duration) {
-        let mut change = self.change.lock();
-        let before = *change;
-        self.changed.wait_while_for(&mut change, |now| *now == before, bound);
+    pub(crate) async fn changed(&self, bound: Duration) {
+        // Without a change the bound passes.
+        let _ = timeout(bound, self.change.notified()).await;
     }
 }
--- /dev/null
+++ b/acaciaringd/src/web/client.rs
@@ -0,0 +1,295 @@
+//! Client for HTTP/1.1 over kept connections to one address at a time.
+//!
+//! A request is on the wire once or not at all: nothing is repeated here. A connection is kept
+//! only after a whole answer, so a late answer of a request that was given up finds no reader.
+
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::response::Parts;
+use hyper::http::{HeaderMap, header};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use rustix::net::sockopt;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+use tracing::debug;
+
+/// Part of the time that the other end keeps an idle connection for which it is used here.
+///
+/// A request that meets the close of its connection may have run; the rest is for its way.
+const KEEP_PART: u32 = 2;
+
+/// Time for a connection to be free after its answer was read.
+const RELEASE: Duration = Duration::from_millis(2);
+
+/// Settings of a client.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientSettings {
+    /// Idle connections that are kept.
+    pub connections: usize,
+    /// Time in which a connection has to be made.
+    pub connect: Duration,
+    /// Time for which an idle connection is used where the other end does not state one.
+    pub idle: Duration,
+    /// Largest answer, bytes.
+    pub body: usize,
+    /// Time without a sign of life after which an open connection is tested, and the same between
+    /// two tests; whole seconds. `None` leaves it to the requests' own time-outs.
+    pub probe: Option<Duration>,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            connections: 32,
+            connect: Duration::from_millis(500),
+            idle: Duration::from_secs(4),
+            body: 64 << 20,
+            probe: None,
+        }
+    }
+}
+
+/// Failure of an exchange.
+#[derive(Debug, Snafu)]
+pub enum ExchangeError {
+    /// There is no connection; nothing was sent.
+    #[snafu(display("cannot connect to {address}"))]
+    Connect {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The connection is not usable; nothing was sent.
+    #[snafu(display("connection to {address} closed before the request was sent"))]
+    Unsent {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The request was sent, and there is no whole answer.
+    #[snafu(display("no whole answer from {address}"))]
+    Lost {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The answer is above the limit.
+    #[snafu(display("answer of {address} is above {limit} bytes"))]
+    TooLarge {
+        /// Address.
+        address: SocketAddr,
+        /// Limit, bytes.
+        limit: usize,
+    },
+}
+
+impl ExchangeError {
+    /// Returns true when the other end may have got the request.
+    #[must_use]
+    pub const fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::Lost { .. } | Self::TooLarge { .. })
+    }
+
+    /// Returns true when nobody listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
+/// Whole answer.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Status and headers.
+    pub head: Parts,
+    /// Whole body.
+    pub body: Bytes,
+    /// True when the connection had carried an earlier request.
+    pub reused: bool,
+    kept: Option<Idle>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    until: Instant,
+}
+
+/// Client; its connections end with it.
+#[derive(Debug)]
+pub struct Client {
+    settings: ClientSettings,
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl Client {
+    /// Makes a client without connections.
+    #[must_use]
+    pub const fn new(settings: ClientSettings) -> Self {
+        Self { settings, idle: Mutex::new(Vec::new()) }
+    }
+
+    /// Sends a request once and reads its whole answer.
+    ///
+    /// The caller bounds the time and drops the future; that closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::may_have_arrived`] tells whether the other end may have got the request.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Result<Exchange, ExchangeError> {
+        let (mut sender, reused, request) = match self.take(address) {
+            Some(mut sender) => match sender.try_send_request(request).await {
+                Ok(response) => return self.receive(address, sender, true, response).await,
+                Err(mut error) => match error.take_message() {
+                    // Closed while idle, and surely not sent.
+                    Some(request) => (self.connect(address).await?, false, request),
+                    None => return Err(lost(address, error.into_error())),
+                },
+            },
+            None => (self.connect(address).await?, false, request),
+        };
+        match sender.try_send_request(request).await {
+            Ok(response) => self.receive(address, sender, reused, response).await,
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let source = error.into_error();
+                if unsent {
+                    Err(source).context(UnsentSnafu { address })
+                } else {
+                    Err(lost(address, source))
+                }
+            }
+        }
+    }
+
+    /// Gives the connection of an exchange back, for the next request.
+    ///
+    /// To be called only when the answer is proved to be that of the request.
+    pub async fn release(&self, exchange: &mut Exchange) {
+        let Some(mut kept) = exchange.kept.take() else { return };
+        // An answer that came before the whole request was sent leaves the connection busy.
+        let free = timeout(RELEASE, kept.sender.ready()).await;
+        if !matches!(free, Ok(Ok(()))) {
+            return;
+        }
+        let mut idle = self.idle.lock();
+        if idle.len() < self.settings.connections {
+            idle.push(kept);
+        }
+    }
+
+    /// Closes idle connections, for an address whose server has gone.
+    pub fn clear(&self) {
+        self.idle.lock().clear();
+    }
+
+    /// Takes the connection that was used last.
+    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.retain(|idle| idle.address == address && now < idle.until && !idle.sender.is_closed());
+        while let Some(kept) = idle.pop() {
+            if kept.sender.is_ready() {
+                return Some(kept.sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+        let connected = timeout(self.settings.connect, TcpStream::connect(address)).await;
+        let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let stream = stream.context(ConnectSnafu { address })?;
+        self.prepare(&stream).context(ConnectSnafu { address })?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.context(UnsentSnafu { address })?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!(%address, error = &error as &dyn Error, "connection ended");
+            }
+        });
+        Ok(sender)
+    }
+
+    /// Sets what makes a silent connection end.
+    ///
+    /// Guards against a connection of which something in between has lost track: it stays open
+    /// without a word while new ones work, and whoever waits on it would wait for good.
+    fn prepare(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let Some(probe) = self.settings.probe else { return Ok(()) };
+        sockopt::set_socket_keepalive(stream, true)?;
+        sockopt::set_tcp_keepidle(stream, probe)?;
+        sockopt::set_tcp_keepintvl(stream, probe)?;
+        sockopt::set_tcp_keepcnt(stream, 1)?;
+        let bound = u32::try_from((probe * 2).as_millis()).unwrap_or(u32::MAX);
+        sockopt::set_tcp_user_timeout(stream, bound)?;
+        Ok(())
+    }
+
+    async fn receive(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        reused: bool,
+        response: hyper::Response<Incoming>,
+    ) -> Result<Exchange, ExchangeError> {
+        let (head, body) = response.into_parts();
+        let body = self.read(address, body).await?;
+        let until = Instant::now() + keep(&head.headers).unwrap_or(self.settings.idle);
+        let kept = (!closes(&head.headers)).then_some(Idle { address, sender, until });
+        Ok(Exchange { head, body, reused, kept })
+    }
+
+    async fn read(&self, address: SocketAddr, mut body: Incoming) -> Result<Bytes, ExchangeError> {
+        let limit = self.settings.body;
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|source| lost(address, source))?.into_data() else {
+                continue;
+            };
+            if whole.len() + data.len() > limit {
+                return TooLargeSnafu { address, limit }.fail();
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+}
+
+const fn lost(address: SocketAddr, source: hyper::Error) -> ExchangeError {
+    ExchangeError::Lost { address, source }
+}
+
+/// Returns for how long an idle connection may be used, by the word of the other end.
+fn keep(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let stated = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u32 = stated.parse().ok()?;
+    Some(Duration::from_secs(seconds.into()) / KEEP_PART)
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::CONNECTION).iter();
+    values.any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- /dev/null
+++ b/acaciaringd/src/web/server.rs
@@ -0,0 +1,285 @@
+//! Listener for HTTP/1.1.
+//!
+//! Requests are read whole before they are handed on, and answers are written whole with their
+//! length. When a caller leaves, the future that answers it is dropped.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::http::{StatusCode, header};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, warn};
+
+use crate::declared::CallerLimits;
+use crate::peer::Pending;
+use crate::web::io::Watched;
+
+/// Answer to a caller.
+pub type Response = hyper::Response<Full<Bytes>>;
+
+/// Pause after a connection could not be accepted, for want of descriptors as a rule.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Time in which a body has to arrive.
+const BODY: Duration = Duration::from_secs(10);
+
+/// Steps in which a stop looks whether requests are still in hand.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Smallest buffer that the library takes for a head, bytes.
+const HEAD_LEAST: usize = 8192;
+
+/// Failure to listen.
+#[derive(Debug, Snafu)]
+pub enum WebError {
+    /// The address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address of the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Why a request is not whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Its body is above the limit.
+    TooLarge,
+    /// Its body has not arrived in time.
+    Slow,
+    /// Its body is malformed or was cut off.
+    Malformed,
+}
+
+/// What answers requests.
+pub trait Site: Send + Sync + 'static {
+    /// Returns the bounds on callers in force.
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+
+    /// Answers a whole request.
+    fn answer(&self, head: Parts, body: Bytes) -> Pending<'_, Response>;
+
+    /// Answers a request that is not whole; it has not run, and its connection ends.
+    fn refuse(&self, fault: Fault) -> Response {
+        let status = match fault {
+            Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Fault::Slow => StatusCode::REQUEST_TIMEOUT,
+            Fault::Malformed => StatusCode::BAD_REQUEST,
+        };
+        text(status, "")
+    }
+}
+
+/// Returns an answer with a status and a text.
+#[must_use]
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Phase of a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Open,
+    /// Connections end after the request in hand.
+    Closing,
+}
+
+/// Running listener; stops when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    phase: watch::Sender<Phase>,
+    requests: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// Listens and answers on the threads of a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub fn start(
+        runtime: &Handle,
+        address: SocketAddr,
+        site: Arc<dyn Site>,
+    ) -> Result<Self, WebError> {
+        let failed = |source| WebError::Listen { address, source };
+        let socket = std::net::TcpListener::bind(address).map_err(failed)?;
+        socket.set_nonblocking(true).map_err(failed)?;
+        let address = socket.local_addr().map_err(failed)?;
+        let _entered = runtime.enter();
+        let listener = TcpListener::from_std(socket).map_err(failed)?;
+        let (phase, watched) = watch::channel(Phase::Open);
+        let requests = Arc::new(AtomicUsize::new(0));
+        let desk = Arc::new(Desk { site, requests: Arc::clone(&requests) });
+        runtime.spawn(accept(listener, desk, watched));
+        Ok(Self { address, phase, requests })
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops to accept and waits for the requests in hand, at most `bound`; returns how many are left.
+    ///
+    /// Connections end after the request in hand, at once where there is none.
+    #[must_use]
+    pub fn drain(&self, bound: Duration) -> usize {
+        self.phase.send_replace(Phase::Closing);
+        let start = std::time::Instant::now();
+        loop {
+            std::thread::sleep(STEP);
+            let left = self.requests.load(Ordering::Acquire);
+            if left == 0 || start.elapsed() >= bound {
+                return left;
+            }
+        }
+    }
+}
+
+struct Desk {
+    site: Arc<dyn Site>,
+    requests: Arc<AtomicUsize>,
+}
+
+async fn accept(listener: TcpListener, desk: Arc<Desk>, mut phase: watch::Receiver<Phase>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, Arc::clone(&desk), phase.clone()));
+            }
+            Err(error) => {
+                warn!(%error, "cannot accept a connection");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until it ends.
+async fn serve(stream: TcpStream, desk: Arc<Desk>, mut phase: watch::Receiver<Phase>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(%error, "connection has ended before it was served");
+        return;
+    }
+    let CallerLimits { head, arrival, idle, .. } = desk.site.limits();
+    let busy = Arc::new(AtomicBool::new(false));
+    let io = TokioIo::new(Watched::new(stream, arrival, idle, Arc::clone(&busy)));
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let turn = Turn::new(&desk.requests, &busy);
+        let desk = Arc::clone(&desk);
+        async move {
+            let response = desk.answer(request).await;
+            drop(turn);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(head.max(HEAD_LEAST)).half_close(false);
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = phase.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(error = &error as &dyn std::error::Error, "connection of a caller ended");
+    }
+}
+
+/// Request in hand; ends when dropped.
+struct Turn {
+    requests: Arc<AtomicUsize>,
+    busy: Arc<AtomicBool>,
+}
+
+impl Turn {
+    fn new(requests: &Arc<AtomicUsize>, busy: &Arc<AtomicBool>) -> Self {
+        requests.fetch_add(1, Ordering::AcqRel);
+        busy.store(true, Ordering::Release);
+        Self { requests: Arc::clone(requests), busy: Arc::clone(busy) }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.busy.store(false, Ordering::Release);
+        self.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Desk {
+    async fn answer(&self, request: hyper::Request<Incoming>) -> Response {
+        let (head, body) = request.into_parts();
+        match self.read(body).await {
+            Ok(body) => self.site.answer(head, body).await,
+            Err(fault) => {
+                debug!(?fault, path = head.uri.path(), "request is not whole");
+                let mut response = self.site.refuse(fault);
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+                response
+            }
+        }
+    }
+
+    async fn read(&self, body: Incoming) -> Result<Bytes, Fault> {
+        let limit = self.site.limits().body;
+        let stated = hyper::body::Body::size_hint(&body).lower();
+        if stated > limit as u64 {
+            return Err(Fault::TooLarge);
+        }
+        timeout(BODY, collect(body, limit)).await.unwrap_or(Err(Fault::Slow))
+    }
+}
+
+/// Reads a body of at most `limit` bytes; most come in one piece, which is not copied.
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+    let mut first = Bytes::new();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Fault::Malformed)?.into_data() else { continue };
+        if first.len() + whole.len() + data.len() > limit {
+            return Err(Fault::TooLarge);
+        }
+        if first.is_empty() && whole.is_empty() {
+            first = data;
+            continue;
+        }
+        if !first.is_empty() {
+            whole.extend_from_slice(&first);
+            first = Bytes::new();
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(if whole.is_empty() { first } else { whole.freeze() })
+}
--- a/acaciaringd/src/wire.rs
+++ b/acaciaringd/src/wire.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use acaciaring_core::route::Rank;
 use acaciaring_core::{KeyHash, Reason, Refusal, UnitId, Verdict};
 use acaciaring_schema::{log, peer};
 
@@ -61,6 +62,21 @@
     matches!(reply, Some(peer::reply::Body::Done(peer::Done { accepted: true })))
 }
 
+/// Returns the number of a rank, 0 for the most important.
+pub(crate) const fn rank_number(rank: Rank) -> u32 {
+    rank as u32
+}
+
+/// Returns the rank with a number; a number that is not known is the least important.
+pub(crate) const fn rank(number: u32) -> Rank {
+    match number {
+        0 => Rank::Critical,
+        1 => Rank::Interactive,
+        2 => Rank::Bulk,
+        _ => Rank::Background,
+    }
+}
+
 /// Converts a span of time to whole milliseconds.
 pub(crate) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
--- a/acaciaringd/tests/peer.rs
+++ b/acaciaringd/tests/peer.rs
@@ -31,9 +31,9 @@
     let nodes = [Node::echo(authority.settings()), Node::echo(authority.settings())];
     for (one, other) in [(&nodes[0], &nodes[1]), (&nodes[1], &nodes[0])] {
         let to = other.transport.local_addr();
-        assert_eq!(body(one.transport.request(to, request("flour"), PATIENCE)), b"flour");
+        assert_eq!(body(one.transport.blocking_request(to, request("flour"), PATIENCE)), b"flour");
         let call = call::Body::Status(StatusQuery {});
-        let reply = one.transport.call(to, call, PATIENCE).unwrap();
+        let reply = one.transport.blocking_call(to, call, PATIENCE).unwrap();
         assert!(matches!(reply, reply::Body::Done(_)));
     }
     let traffic = nodes[0].transport.traffic();
@@ -54,7 +54,7 @@
                 for turn in 0..50_u32 {
                     let size = (caller * 97 + turn * 13) % 5000;
                     let sent = format!("{caller} {turn} {}", "x".repeat(size as usize));
-                    let outcome = transport.request(to, request(sent.clone()), PATIENCE);
+                    let outcome = transport.blocking_request(to, request(sent.clone()), PATIENCE);
                     assert_eq!(body(outcome), sent.as_bytes());
                 }
             });
@@ -70,8 +70,11 @@
     let client = Node::echo(authority.settings());
     let to = server.transport.local_addr();
     let sample: Vec<u8> = (0..4_000_000_u32).map(|byte| byte.to_le_bytes()[0]).collect();
-    assert_eq!(body(client.transport.request(to, request(sample.clone()), PATIENCE)), sample);
-    let outcome = client.transport.request(to, request(vec![0; 5 << 20]), PATIENCE);
+    assert_eq!(
+        body(client.transport.blocking_request(to, request(sample.clone()), PATIENCE)),
+        sample
+    );
+    let outcome = client.transport.blocking_request(to, request(vec![0; 5 << 20]), PATIENCE);
     assert_eq!(outcome, RequestOutcome::NotDelivered);
     assert_eq!(server.runs(), 1);
 }
@@ -107,15 +110,15 @@
     let sly = Node::echo(settings);
     let to = member.transport.local_addr();
     for stranger in [&stranger, &sly] {
-        let outcome = stranger.transport.request(to, request("x"), PATIENCE);
+        let outcome = stranger.transport.blocking_request(to, request("x"), PATIENCE);
         assert_eq!(outcome, RequestOutcome::NotDelivered);
         let call = call::Body::Status(StatusQuery {});
-        let error = stranger.transport.call(to, call, PATIENCE).unwrap_err();
+        let error = stranger.transport.blocking_call(to, call, PATIENCE).unwrap_err();
         assert!(matches!(error, CallError::Unreachable { .. }));
         assert!(!error.may_have_run());
     }
     let to = stranger.transport.local_addr();
-    let outcome = member.transport.request(to, request("x"), PATIENCE);
+    let outcome = member.transport.blocking_request(to, request("x"), PATIENCE);
     assert_eq!(outcome, RequestOutcome::NotDelivered);
     assert_eq!(member.runs() + stranger.runs(), 0);
 }
@@ -156,7 +159,7 @@
     let permit = request("permit");
     let attempt = permit.attempt;
     thread::scope(|scope| {
-        let waiting = scope.spawn(|| client.transport.request(to, permit, PATIENCE));
+        let waiting = scope.spawn(|| client.transport.blocking_request(to, permit, PATIENCE));
         start.recv_timeout(PATIENCE).unwrap();
         client.transport.cancel(to, attempt);
         assert_eq!(body(waiting.join().unwrap()), b"permit");
@@ -180,13 +183,14 @@
     let to = server.transport.local_addr();
     let left = Duration::from_millis(400);
     thread::scope(|scope| {
-        let running = scope.spawn(|| client.transport.request(to, request("a"), PATIENCE / 20));
+        let running =
+            scope.spawn(|| client.transport.blocking_request(to, request("a"), PATIENCE / 20));
         wait_for(|| server.runs() == 1);
-        let queued = client.transport.request(to, request("b"), left);
+        let queued = client.transport.blocking_request(to, request("b"), left);
         assert_eq!(queued, RequestOutcome::Lost);
         assert_eq!(running.join().unwrap(), RequestOutcome::Lost);
     });
-    assert_eq!(body(client.transport.request(to, request("c"), PATIENCE)), b"c");
+    assert_eq!(body(client.transport.blocking_request(to, request("c"), PATIENCE)), b"c");
     assert_eq!(server.runs(), 2, "the queued request did not run before the third");
 }
 
@@ -202,13 +206,14 @@
     });
     let client = Node::echo(authority.settings());
     let to = server.transport.local_addr();
-    let RequestOutcome::Answer(answer) = client.transport.request(to, request("bad"), PATIENCE)
+    let RequestOutcome::Answer(answer) =
+        client.transport.blocking_request(to, request("bad"), PATIENCE)
     else {
         panic!("no answer");
     };
     assert_eq!(answer.verdict(), Verdict::Unknown);
     assert_eq!(answer.reason(), Reason::LostAnswer);
-    assert_eq!(body(client.transport.request(to, request("good"), PATIENCE)), b"good");
+    assert_eq!(body(client.transport.blocking_request(to, request("good"), PATIENCE)), b"good");
 }
 
 /// A member stops after its work is done. Others must see at once that it is
@@ -219,13 +224,13 @@
     let server = Node::echo(authority.settings());
     let client = Node::echo(authority.settings());
     let to = server.transport.local_addr();
-    assert_eq!(body(client.transport.request(to, request("a"), PATIENCE)), b"a");
+    assert_eq!(body(client.transport.blocking_request(to, request("a"), PATIENCE)), b"a");
     server.transport.stop();
     wait_for(|| client.transport.traffic().connections == 0);
-    let outcome = client.transport.request(to, request("b"), PATIENCE);
+    let outcome = client.transport.blocking_request(to, request("b"), PATIENCE);
     assert_eq!(outcome, RequestOutcome::NotDelivered);
     client.transport.stop();
-    let outcome = client.transport.request(to, request("c"), PATIENCE);
+    let outcome = client.transport.blocking_request(to, request("c"), PATIENCE);
     assert_eq!(outcome, RequestOutcome::NotDelivered);
     assert_eq!(Arc::strong_count(&client.handler), 2, "the transport lives until it is dropped");
 }
--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -44,7 +44,7 @@
     }
 
     fn request(&self, body: &str) -> RequestOutcome {
-        self.client.transport.request(self.forwarder.address, request(body), PATIENCE)
+        self.client.transport.blocking_request(self.forwarder.address, request(body), PATIENCE)
     }
 }
 
--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -16,7 +16,7 @@
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 
 // The parent names the module, for this file serves unit and integration tests.
-use super::peer::{CancelFlag, Handler, PeerSettings, Transport};
+use super::peer::{CancelFlag, Handler, PeerSettings, Pending, Transport};
 
 /// Longest wait for a condition that holds on any machine that works.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -65,7 +65,7 @@
     }
 }
 
-type Run = Box<dyn Fn(Request, &CancelFlag) -> Answer + Send + Sync>;
+type Run = Arc<dyn Fn(Request, &CancelFlag) -> Answer + Send + Sync>;
 
 /// Handler that counts, and runs requests as the test says.
 pub struct Fake {
@@ -80,13 +80,16 @@
         self.datagrams.send((from, datagram)).unwrap();
     }
 
-    fn call(&self, _: call::Body) -> reply::Body {
-        reply::Body::Done(Done { accepted: true })
+    fn call(&self, _: call::Body) -> Pending<'_, reply::Body> {
+        Box::pin(async { reply::Body::Done(Done { accepted: true }) })
     }
 
-    fn request(&self, request: Request, cancelled: &CancelFlag) -> Answer {
+    fn request<'a>(&'a self, request: Request, cancelled: &'a CancelFlag) -> Pending<'a, Answer> {
         self.runs.fetch_add(1, Ordering::SeqCst);
-        (self.run)(request, cancelled)
+        let (run, cancelled) = (Arc::clone(&self.run), cancelled.clone());
+        // Tests block in their handlers.
+        let job = tokio::task::spawn_blocking(move || run(request, &cancelled));
+        Box::pin(async { job.await.unwrap() })
     }
 }
 
@@ -103,7 +106,7 @@
         run: impl Fn(Request, &CancelFlag) -> Answer + Send + Sync + 'static,
     ) -> Self {
         let (sender, datagrams) = unbounded();
-        let run = Box::new(run);
+        let run: Run = Arc::new(run);
         let handler = Arc::new(Fake { run, runs: AtomicUsize::new(0), datagrams: sender });
         let transport = Transport::start(settings, handler.clone()).unwrap();
         Self { transport, handler, datagrams }
