Keep one server for keys whose owner's next process is in its place

The assignment now names that standby as rival: the owner waits for its release, the standby stops once it reads the record, and the token rises above any that the standby can have used.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -24,6 +24,9 @@
 /// Shortest time for which a grant is worth its reply.
 const LEAST: Duration = Duration::from_millis(100);
 
+/// Released ranges that are remembered.
+const FREED: usize = 1024;
+
 /// Former instances that are remembered.
 const FORMER: usize = 32;
 
@@ -296,8 +299,7 @@
             let keys = freed.first..=freed.last;
             !reported.iter().any(|held| meets(&keys, held))
         });
-        const KEPT: usize = 1024;
-        let excess = self.freed.len().saturating_sub(KEPT);
+        let excess = self.freed.len().saturating_sub(FREED);
         self.freed.drain(..excess);
     }
 
--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -206,7 +206,7 @@
         // version, and the owner serves again beside the standby that lags behind.
         let given = self.given.get(&key) == Some(&Roles::of(assignment));
         let (ready, token) = if owner == Some(me) && !given {
-            (self.owner_ready(&key, me, assignment, expired), Token::owner(token))
+            (self.owner_ready(&key, me, assignment, &expired), Token::owner(token))
         } else if standby == Some(me) && self.standby_ready(&key, me, assignment, expired) {
             (true, Token::standby(version))
         } else {
@@ -228,7 +228,8 @@
         assignment: &Assignment,
         expired: impl Fn(MemberId) -> bool,
     ) -> bool {
-        self.served.contains(key) || self.free_of(key, me, assignment, assignment.prior, expired)
+        let free = |other| self.free_of(key, me, assignment, other, &expired);
+        self.served.contains(key) || (free(assignment.prior) && free(assignment.rival))
     }
 
     fn standby_ready(
@@ -241,10 +242,13 @@
         let renounced = self.renounced.get(key).is_some_and(|v| *v >= assignment.version);
         // Once it has taken over, a standby goes on over changes of version: the
         // owner is lost or bound by its release while the standby is the same.
-        // After a switchover back the standby itself is `prior` and must stop.
-        let goes_on = self.served.contains(key) && assignment.prior != Some(me);
+        // After a switchover back the standby itself is `prior` and must stop, and it is
+        // `rival` once the owner's next process is in the owner's place.
+        let stops = [assignment.prior, assignment.rival].contains(&Some(me));
+        let goes_on = self.served.contains(key) && !stops;
         let free = |other| self.free_of(key, me, assignment, other, &expired);
-        let taken = free(assignment.owner) && free(assignment.prior);
+        let former = free(assignment.prior) && free(assignment.rival);
+        let taken = free(assignment.owner) && former;
         !renounced && assignment.owner.is_some() && (goes_on || taken)
     }
 
--- a/acaciaring_core/src/state/assignment.rs
+++ b/acaciaring_core/src/state/assignment.rs
@@ -14,6 +14,11 @@
     pub standby: Option<MemberId>,
     /// Former owner whose release is not known from the log.
     pub prior: Option<MemberId>,
+    /// Standby of the former process in whose place the owner is.
+    ///
+    /// It may have taken over before it read that the owner is there again, so the owner waits for
+    /// its release as for that of `prior`.
+    pub rival: Option<MemberId>,
     /// Offset of the record that last changed this assignment.
     pub version: Offset,
     /// Offset of the record that last changed the owner.
--- a/acaciaring_core/src/state/snapshot/decode.rs
+++ b/acaciaring_core/src/state/snapshot/decode.rs
@@ -128,12 +128,13 @@
 
     /// Returns true when the members of an assignment may have their roles.
     fn fits(&self, assignment: &Assignment) -> bool {
-        let Assignment { owner, standby, prior, version, token } = *assignment;
+        let Assignment { owner, standby, prior, rival, version, token } = *assignment;
         let present = |id: MemberId| self.present(id.0).is_ok();
         let members = owner.is_none_or(present)
             && prior.is_none_or(present)
+            && rival.is_none_or(present)
             && standby.is_none_or(|standby| self.alive(standby.0).is_ok());
-        let distinct = owner.is_none() || (owner != standby && owner != prior);
+        let distinct = owner.is_none() || (owner != standby && owner != prior && owner != rival);
         let ordered = token <= version && version < self.next.max(1);
         members && distinct && ordered && (owner.is_some() || standby.is_none())
     }
@@ -237,6 +238,7 @@
         owner: MemberId::from_wire(wire.owner),
         standby: MemberId::from_wire(wire.standby),
         prior: MemberId::from_wire(wire.prior),
+        rival: MemberId::from_wire(wire.rival),
         version: wire.version,
         token: wire.token,
     }
--- a/acaciaring_core/src/state/snapshot/encode.rs
+++ b/acaciaring_core/src/state/snapshot/encode.rs
@@ -101,6 +101,7 @@
         owner: MemberId::to_wire(assignment.owner),
         standby: MemberId::to_wire(assignment.standby),
         prior: MemberId::to_wire(assignment.prior),
+        rival: MemberId::to_wire(assignment.rival),
         version: assignment.version,
         token: assignment.token,
     }
--- a/acaciaring_core/src/state/succession.rs
+++ b/acaciaring_core/src/state/succession.rs
@@ -21,7 +21,7 @@
         for service in self.services.values_mut() {
             let mut picker = Picker::new(&mut self.counts, &self.members, &service.workspace);
             let touched = |place: &&mut Assignment| {
-                [place.owner, place.standby, place.prior].contains(&Some(lost))
+                [place.owner, place.standby, place.prior, place.rival].contains(&Some(lost))
             };
             for place in assignments(service).filter(touched) {
                 let Some(mut next) = successor(place, lost, departure) else { continue };
@@ -40,21 +40,24 @@
 
     /// Gives all roles of a former member to the later one in its place.
     ///
-    /// Tokens stay: the keys are with the same start of the same upstream.
+    /// The tokens of what it owned rise: its standby may have taken over under a higher one than
+    /// the former member had, before it reads this. The owner waits for the standby's release.
     pub(super) fn replace(&mut self, offset: Offset, former: MemberId, later: MemberId) {
         for service in self.services.values_mut() {
             for place in assignments(service) {
-                let Assignment { owner, standby, prior, .. } = *place;
-                if ![owner, standby, prior].contains(&Some(former)) {
+                let Assignment { owner, standby, prior, rival, token, .. } = *place;
+                if ![owner, standby, prior, rival].contains(&Some(former)) {
                     continue;
                 }
                 let swap = |id: Option<MemberId>| if id == Some(former) { Some(later) } else { id };
+                let owned = owner == Some(former);
                 let next = Assignment {
                     owner: swap(owner),
                     standby: swap(standby),
                     prior: swap(prior),
+                    rival: if owned { standby.or(rival) } else { swap(rival) },
                     version: offset,
-                    ..*place
+                    token: if owned { offset } else { token },
                 };
                 self.counts.remove(place);
                 self.counts.add(&next);
@@ -89,16 +92,19 @@
 /// A missing standby is to be picked; version and token are to be set.
 fn successor(place: &Assignment, lost: MemberId, departure: Departure) -> Option<Assignment> {
     let lost = Some(lost);
-    let Assignment { owner, standby, prior, .. } = *place;
+    let Assignment { owner, standby, prior, rival, .. } = *place;
     let dies = departure == Departure::Dies;
     let prior = if dies && prior == lost { None } else { prior };
+    let rival = if dies && rival == lost { None } else { rival };
     if owner == lost && (dies || standby.is_some()) {
         // A former owner that becomes the owner again has nobody to wait for.
         let prior = if dies { prior.filter(|prior| Some(*prior) != standby) } else { lost };
-        return Some(Assignment { owner: standby, standby: None, prior, ..*place });
+        let rival = rival.filter(|rival| Some(*rival) != standby);
+        return Some(Assignment { owner: standby, standby: None, prior, rival, ..*place });
     }
     if standby == lost {
-        return Some(Assignment { standby: None, prior, ..*place });
+        return Some(Assignment { standby: None, prior, rival, ..*place });
     }
-    (prior != place.prior).then_some(Assignment { prior, ..*place })
+    let changed = prior != place.prior || rival != place.rival;
+    changed.then_some(Assignment { prior, rival, ..*place })
 }
--- a/acaciaring_core/src/state/units.rs
+++ b/acaciaring_core/src/state/units.rs
@@ -34,6 +34,7 @@
                 owner: Some(owner),
                 standby: picker.pick(owner),
                 prior: place.prior.filter(|prior| *prior != owner),
+                rival: place.rival.filter(|rival| *rival != owner),
                 version: offset,
                 token: offset,
             };
@@ -85,6 +86,8 @@
             owner: a.standby,
             standby: Some(owner),
             prior: Some(owner),
+            // Only what is served may be passed on, so it had released.
+            rival: None,
             version: offset,
             token: offset,
         });
@@ -169,9 +172,13 @@
             merged.push((key, unit.slot, hot));
         }
         for (key, slot, hot) in merged {
-            let prior =
-                |a: Assignment| Assignment { prior: a.prior.or(hot.prior), version: offset, ..a };
-            self.change(&record.workspace, &[UnitId::slot(slot)], prior);
+            let joined = |a: Assignment| Assignment {
+                prior: a.prior.or(hot.prior),
+                rival: a.rival.or(hot.rival),
+                version: offset,
+                ..a
+            };
+            self.change(&record.workspace, &[UnitId::slot(slot)], joined);
             self.counts.remove(&hot);
             if let Some(service) = self.services.get_mut(&*record.workspace) {
                 service.hot.remove(&key);
@@ -257,6 +264,7 @@
 
 /// Returns true when a slot can take back a hot key without a change of rights.
 fn alike(slot: &Assignment, hot: &Assignment) -> bool {
-    let prior = slot.prior.is_none() || hot.prior.is_none() || slot.prior == hot.prior;
-    slot.owner == hot.owner && slot.standby == hot.standby && prior
+    let fits = |one: Option<MemberId>, other| one.is_none() || other == None || one == other;
+    let former = fits(slot.prior, hot.prior) && fits(slot.rival, hot.rival);
+    slot.owner == hot.owner && slot.standby == hot.standby && former
 }
--- a/acaciaring_core/tests/rights.rs
+++ b/acaciaring_core/tests/rights.rs
@@ -52,7 +52,7 @@
     token: u64,
     version: u64,
 ) -> Assignment {
-    Assignment { owner: Some(owner), standby: Some(standby), prior, version, token }
+    Assignment { owner: Some(owner), standby: Some(standby), prior, rival: None, version, token }
 }
 
 #[test]
--- a/acaciaring_core/tests/support/fleet.rs
+++ b/acaciaring_core/tests/support/fleet.rs
@@ -261,8 +261,14 @@
                 Policy::Weighted | Policy::Greedy => members[slot as usize % members.len()],
             };
             let standby = self.draw_standby(Some(owner));
-            let assignment =
-                Assignment { owner: Some(owner), standby, prior: None, version: 1, token: 1 };
+            let assignment = Assignment {
+                owner: Some(owner),
+                standby,
+                prior: None,
+                rival: None,
+                version: 1,
+                token: 1,
+            };
             self.service.slots[slot as usize] = assignment;
         }
     }
--- a/acaciaring_model/src/takeover/fold.rs
+++ b/acaciaring_model/src/takeover/fold.rs
@@ -53,7 +53,14 @@
                 let owner = Some(MEMBERS[proposal.target]);
                 let prior = Some(member);
                 let standby = prior;
-                let moved = Assignment { owner, standby, prior, version: offset, token: offset };
+                let moved = Assignment {
+                    owner,
+                    standby,
+                    prior,
+                    rival: None,
+                    version: offset,
+                    token: offset,
+                };
                 return Fold { number, state, applied: true, moved: Some(moved) };
             }
         };
--- a/acaciaringd/src/appender.rs
+++ b/acaciaringd/src/appender.rs
@@ -16,8 +16,11 @@
 /// Identity of a record, the same over all tries of its append.
 pub(crate) type RecordId = [u8; 16];
 
-/// Pause before a refused append is tried again.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a refused append is tried again, at first; it doubles up to the longest.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between two tries.
+const LONGEST: Duration = Duration::from_millis(800);
 
 /// Tries of one record before another has its turn.
 const TRIES: u32 = 20;
@@ -119,6 +122,7 @@
     /// A record that the log service refuses for good must not hold up the rest.
     fn append(&self, record: &Record) {
         let bytes = record.encode_to_vec();
+        let mut pause = PAUSE;
         for _ in 0..TRIES {
             if !self.begin(record) {
                 return;
@@ -129,7 +133,9 @@
             if appended == Appended::Yes {
                 return;
             }
-            thread::sleep(PAUSE);
+            // Spread, for after an outage all members come back in the same moment.
+            thread::sleep(pause.mul_f64(rand::random_range(0.5..1.0)));
+            pause = (pause * 2).min(LONGEST);
         }
         if self.queue.try_send(record.clone()).is_err() {
             warn!("too many records wait for the log, dropping one");
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -61,7 +61,8 @@
         self.handover.draining.clear();
         for service in self.state.services() {
             for (unit, assignment) in service.units() {
-                let former = assignment.prior == me && assignment.owner != me;
+                let owned = assignment.owner == me;
+                let former = !owned && [assignment.prior, assignment.rival].contains(&me);
                 let closing = self.closed && assignment.owner == me && assignment.standby.is_some();
                 if former || closing {
                     let place = (Arc::clone(&service.workspace), unit);
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -227,5 +227,5 @@
         return false;
     }
     let mut units = state.services().flat_map(Service::units);
-    units.all(|(_, assignment)| assignment.prior != Some(member))
+    units.all(|(_, assignment)| ![assignment.prior, assignment.rival].contains(&Some(member)))
 }
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -272,6 +272,7 @@
     fn round(&mut self, now: Time) {
         self.dirty |= self.holding.reports && self.holding.next(now) != self.awaited;
         self.awaited = self.holding.next(now);
+        self.dirty |= self.paused(now) && !self.parts.shared.view().closed;
         self.renew(now);
         self.cast_votes(now);
         self.refresh(now);
@@ -341,7 +342,7 @@
             synced: Arc::new(self.replication.synced.clone()),
             expired: Arc::new(self.expired(now)),
             link: self.link.clone(),
-            closed: self.closed || self.leaving() || self.holding.closed(now),
+            closed: self.closed || self.leaving() || self.holding.closed(now) || self.paused(now),
         };
         self.parts.shared.publish(view);
         if self.declared.is_some() {
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -53,8 +53,9 @@
         }
         let late = now.since(since) >= self.parts.drain;
         if self.pausing {
-            let idle = self.parts.shared.inflight.total() == 0;
-            return late || (now.since(since) >= PAUSE && idle);
+            // The closed view is published before the count is read, so no request slips in between.
+            let closed = self.parts.shared.view().closed;
+            return late || (closed && self.parts.shared.inflight.total() == 0);
         }
         if late {
             warn!(
@@ -65,6 +66,11 @@
         late || (self.closed && self.all_released())
     }
 
+    /// Returns true once a process that is to be started again takes no more requests for its upstream.
+    pub(super) fn paused(&self, now: Time) -> bool {
+        self.pausing && self.stopping.is_some_and(|since| now.since(since) >= PAUSE)
+    }
+
     /// Drives the end of this identity, if it has begun.
     pub(super) fn retire(&mut self, now: Time) {
         self.watch_upstream(now);
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -158,12 +158,9 @@
                     () = cancelled.cancelled() => None,
                 }
             };
-            match timeout(LOOK, look).await {
-                Ok(Some(decision)) => {
-                    std::mem::forget(waiting);
-                    return decision.unwrap_or(Err(Refusal::not_run(Reason::Busy)));
-                }
-                Ok(None) | Err(_) => {}
+            if let Ok(Some(decision)) = timeout(LOOK, look).await {
+                std::mem::forget(waiting);
+                return decision.unwrap_or(Err(Refusal::not_run(Reason::Busy)));
             }
             let now = clock::now();
             let reason = match (cancelled.is_set(), now >= deadline) {
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -18,9 +18,15 @@
 /// Records asked of another member.
 const RELAYED: u32 = 512;
 
-/// Pause after a failed read.
+/// Pause after a failed read, at first.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest pause after failed reads.
+///
+/// The log service counts refused reads too; with it a service that returns is noticed within
+/// a second.
+const LONGEST: Duration = Duration::from_secs(1);
+
 /// Reads records from another member when the log service cannot be reached.
 pub(crate) type Relay = Box<dyn Fn(u64, u32) -> Option<Batch> + Send>;
 
@@ -35,7 +41,8 @@
     wanted: Wanted,
     events: Sender<Event>,
 ) {
-    let reader = Reader { log, wait, relay, wanted, events, failing: false };
+    let reader =
+        Reader { log, wait, relay, wanted, events, failing: false, begun: false, pause: PAUSE };
     thread::Builder::new()
         .name("log-reader".into())
         .spawn(move || reader.run())
@@ -50,6 +57,10 @@
     wanted: Wanted,
     events: Sender<Event>,
     failing: bool,
+    /// True once a read has said where the log ends.
+    begun: bool,
+    /// Pause after the next failed read.
+    pause: Duration,
 }
 
 impl Reader {
@@ -57,7 +68,8 @@
         loop {
             let from = self.wanted.load(Ordering::Acquire);
             let Some(batch) = self.read(from) else {
-                thread::sleep(PAUSE);
+                thread::sleep(self.pause.mul_f64(rand::random_range(0.5..1.0)));
+                self.pause = (self.pause * 2).min(LONGEST);
                 continue;
             };
             if !self.deliver(batch) {
@@ -68,8 +80,12 @@
 
     /// Reads from the log service, else from another member.
     fn read(&mut self, from: u64) -> Option<Batch> {
-        match self.log.read(from, LIMIT, self.wait) {
+        // The first read must not wait for a record: a quiet log would hold up the start.
+        let wait = if self.begun { self.wait } else { Duration::ZERO };
+        match self.log.read(from, LIMIT, wait) {
             Ok(batch) => {
+                self.begun = true;
+                self.pause = PAUSE;
                 if self.failing {
                     info!("the log can be read again");
                 }
