Resume beside another start of the upstream, even load by service time, believe late reports less

Now a member takes its former process's place beside any start of its upstream, quiet connections are tested before a request is written, loads are weighed by service time, slots have 16 keys and are handed out by blocks, and another instance is believed only after two reports while the present one is silent.

--- a/acaciaring_core/examples/policy.rs
+++ b/acaciaring_core/examples/policy.rs
@@ -343,7 +343,7 @@
     const COUNT: u32 = 20;
     let fleet = Fleet::new(seed, Shape { members: 470, slots: 65_536, ..Shape::default() });
     let ids = fleet.members();
-    let load = |rate| Some(Load { rate, busy: 10, capacity: 20, at: Time::ZERO });
+    let load = |rate| Some(Load { rate, busy: 10, capacity: 20, speed: 1.0, at: Time::ZERO });
     let members: BTreeMap<_, _> = (ids.iter().enumerate())
         .map(|(n, id)| {
             let rate = 12_000.0 + rng.random_range(-1_000.0..1_000.0);
--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -129,6 +129,12 @@
         Duration::from_secs_f64(self.times.mean(rank))
     }
 
+    /// Returns the smoothed time that a request of any rank takes at the upstream.
+    #[must_use]
+    pub fn mean_time(&self) -> Duration {
+        Duration::from_secs_f64(self.times.overall())
+    }
+
     /// Returns how many requests may run at once.
     #[must_use]
     pub fn capacity(&self, now: Time) -> u32 {
--- a/acaciaring_core/src/balance/mod.rs
+++ b/acaciaring_core/src/balance/mod.rs
@@ -24,6 +24,10 @@
 use crate::state::Service;
 use crate::time::Time;
 
+/// Least and greatest speed that is believed; beyond them something else is wrong.
+const SPEED_LEAST: f64 = 0.1;
+const SPEED_MOST: f64 = 10.0;
+
 /// Load of a member as it was reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
@@ -33,6 +37,8 @@
     pub busy: u32,
     /// Requests that may run at once.
     pub capacity: u32,
+    /// Requests that a slot runs in the time in which that of a typical member runs one.
+    pub speed: f64,
     /// When this process got the report.
     pub at: Time,
 }
@@ -48,9 +54,14 @@
         f64::from(self.capacity.max(1))
     }
 
-    /// Returns requests a second for each slot.
+    /// Returns the count of typical slots that run as much as this member's.
+    fn power(&self) -> f64 {
+        self.slots() * self.speed.clamp(SPEED_LEAST, SPEED_MOST)
+    }
+
+    /// Returns requests a second for each typical slot.
     fn density(&self) -> f64 {
-        self.rate / self.slots()
+        self.rate / self.power()
     }
 
     /// Returns how many times its slots a saturated member would need, 1 for any other.
--- a/acaciaring_core/src/balance/moves.rs
+++ b/acaciaring_core/src/balance/moves.rs
@@ -86,7 +86,13 @@
             let typical = self.survey.mean / self.survey.fair;
             let mut units: Vec<_> = free.iter().filter(|own| own.standby == member).collect();
             let distance = |own: &OwnUnit| (self.load_at(member, own.rate) - typical).abs();
-            units.sort_by(|a, b| distance(a).total_cmp(&distance(b)).then(a.unit.cmp(&b.unit)));
+            let service = self.view.service;
+            if service.founded {
+                let members = self.view.members.len();
+                units.sort_by_key(|own| (service.block(own.unit.slot, members), own.unit));
+            } else {
+                units.sort_by(|a, b| distance(a).total_cmp(&distance(b)).then(a.unit.cmp(&b.unit)));
+            }
             for own in units.into_iter().take(quota) {
                 let Some(load) = self.others.get(&member) else { break };
                 if chosen.len() >= left || load + self.load_at(member, own.rate) > self.survey.mean
@@ -125,8 +131,7 @@
     /// Returns the load that `rate` requests a second are at a member.
     fn load_at(&self, member: MemberId, rate: f64) -> f64 {
         let load = self.view.members.get(&member).and_then(|candidate| candidate.load);
-        let capacity = load.map_or(1, |load| load.capacity.max(1));
-        rate / f64::from(capacity)
+        rate / load.map_or(1.0, |load| load.power())
     }
 
     fn apply(&mut self, own: &OwnUnit) {
--- a/acaciaring_core/src/balance/shares.rs
+++ b/acaciaring_core/src/balance/shares.rs
@@ -58,7 +58,8 @@
         let quota = quota(view.me, member, &givers, wanted, floor(settings, fair));
         let mut roles = roles(view, member);
         roles.retain(|unit| given.iter().all(|(other, _)| other != unit));
-        roles.sort_by_key(|unit| order(u64::from(unit.slot), member.0));
+        let block = |unit: &UnitId| view.service.block(unit.slot, view.members.len());
+        roles.sort_by_key(|unit| (order(u64::from(block(unit)), member.0), unit.slot));
         let left = settings.handoffs - given.len();
         given.extend(roles.into_iter().take(quota.min(left)).map(|unit| (unit, member)));
     }
--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -102,6 +102,14 @@
     present: bool,
 }
 
+/// Instance that may have taken the place of the present one.
+#[derive(Debug, Clone)]
+struct Candidate {
+    instance: Name,
+    sequence: u64,
+    since: Time,
+}
+
 /// What the upstream beside this member holds.
 #[derive(Debug, Clone)]
 pub struct Holds {
@@ -110,6 +118,10 @@
     instance: Option<Name>,
     sequence: u64,
     former: Vec<Name>,
+    /// Another instance that has reported once, its number and when.
+    candidate: Option<Candidate>,
+    /// When the present instance last reported.
+    heard: Time,
     reported: Vec<Held>,
     given: BTreeMap<UnitId, Given>,
     freed: Vec<Freed>,
@@ -128,6 +140,8 @@
             instance: None,
             sequence: 0,
             former: Vec::new(),
+            candidate: None,
+            heard: now,
             reported: Vec::new(),
             given: BTreeMap::new(),
             freed: Vec::new(),
@@ -144,7 +158,10 @@
     /// Takes in a report.
     ///
     /// Guards against a report that is delayed until its sender has gone and another one
-    /// reports from the same address: instances that were replaced are remembered.
+    /// reports from the same address. Taken for a start of the upstream, it would end all that
+    /// the living one holds in the eyes of this member, which would pass it on at once. So
+    /// instances that were replaced are remembered, and another one is believed once it has
+    /// reported twice while the present one was silent.
     pub fn report(
         &mut self,
         now: Time,
@@ -159,8 +176,13 @@
         }
         let report = if same || self.instance.is_none() { Report::Newest } else { Report::Another };
         if report == Report::Another {
+            if !self.believes(now, instance, sequence) {
+                return Report::Late;
+            }
             self.replaced();
         }
+        self.candidate = None;
+        self.heard = now;
         self.instance = Some(Name::clone(instance));
         self.sequence = sequence;
         self.reported = held;
@@ -173,6 +195,23 @@
         report
     }
 
+    /// Returns true when another instance has surely taken the place of the present one.
+    fn believes(&mut self, now: Time, instance: &Name, sequence: u64) -> bool {
+        let known = self.candidate.as_ref().filter(|candidate| candidate.instance == *instance);
+        if let Some(known) = known {
+            return sequence > known.sequence && self.heard < known.since;
+        }
+        self.candidate = Some(Candidate { instance: Name::clone(instance), sequence, since: now });
+        false
+    }
+
+    /// Returns true while the upstream may hold anything.
+    #[must_use]
+    pub fn may_hold_any(&self, now: Time) -> bool {
+        let unknown = self.instance.is_none() && self.former.is_empty();
+        now < self.until && (unknown || !self.reported.is_empty() || !self.given.is_empty())
+    }
+
     /// Notes that the upstream has gone: the start that has reported holds nothing any more.
     pub fn gone(&mut self) {
         self.replaced();
@@ -207,27 +246,22 @@
         if hold < LEAST {
             return None;
         }
+        let known = |wanted: &&Wanted| self.given.contains_key(&wanted.unit);
+        let (mut units, new): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(known);
+        units.extend(new);
+        let fits = |count: &usize| rows(&units[..*count]).len() <= room;
+        // More units never make fewer rows, but for those that close a gap between two.
+        let counts: Vec<usize> = (0..=units.len()).collect();
+        let count = if fits(&units.len()) { units.len() } else { counts.partition_point(fits) - 1 };
+        units.truncate(count);
         for given in self.given.values_mut() {
             given.present = false;
         }
-        let known = |wanted: &&Wanted| self.given.contains_key(&wanted.unit);
-        let (old, new): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(known);
-        let mut rows = Vec::new();
-        for unit in old.into_iter().chain(new) {
-            if rows.len() + unit.keys.len() > room {
-                continue;
-            }
-            let row = |keys: &RangeInclusive<u32>| Granted {
-                first: *keys.start(),
-                last: *keys.end(),
-                token: unit.token,
-                handover: Name::clone(&unit.handover),
-            };
-            rows.extend(unit.keys.iter().map(row));
+        for unit in &units {
             self.give(now, unit);
         }
         self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
-        Some((merge(rows), hold))
+        Some((rows(&units), hold))
     }
 
     fn give(&mut self, now: Time, wanted: &Wanted) {
@@ -315,8 +349,16 @@
     held.first <= *keys.end() && *keys.start() <= held.last
 }
 
-/// Joins neighbouring ranges that were given alike.
-fn merge(mut rows: Vec<Granted>) -> Vec<Granted> {
+/// Returns the ranges of units; neighbours that are given alike are joined.
+fn rows(units: &[&Wanted]) -> Vec<Granted> {
+    let row = |unit: &Wanted, keys: &RangeInclusive<u32>| Granted {
+        first: *keys.start(),
+        last: *keys.end(),
+        token: unit.token,
+        handover: Name::clone(&unit.handover),
+    };
+    let mut rows: Vec<Granted> =
+        units.iter().flat_map(|unit| unit.keys.iter().map(|keys| row(unit, keys))).collect();
     rows.sort_unstable_by_key(|row| row.first);
     let mut merged: Vec<Granted> = Vec::with_capacity(rows.len());
     for row in rows {
--- a/acaciaring_core/src/state/assignment.rs
+++ b/acaciaring_core/src/state/assignment.rs
@@ -47,6 +47,9 @@
     pub founded: bool,
 }
 
+/// Blocks of slots for each member of a founded service, up to twice as many.
+const BLOCKS_EACH: u32 = 32;
+
 /// Count of the numbers that are keys of a founded service.
 pub const NUMBERS: u32 = 1 << 16;
 
@@ -91,6 +94,19 @@
         ranges
     }
 
+    /// Returns the block of neighbouring slots to which a slot belongs, where it has `members`.
+    ///
+    /// Slots of a founded service are small, so that a few busy neighbours can be parted. What is
+    /// assigned, taken over or filled goes by blocks, or an upstream would hold so many
+    /// separate ranges that its grants fit no message.
+    #[must_use]
+    pub fn block(&self, slot: Slot, members: usize) -> u32 {
+        let slots = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
+        let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+        let size = if self.founded { slots / BLOCKS_EACH.saturating_mul(members) } else { 1 };
+        slot / prior_power_of_two(size)
+    }
+
     /// Returns the assignment of a unit.
     #[must_use]
     pub fn assignment(&self, unit: UnitId) -> Option<&Assignment> {
@@ -124,3 +140,11 @@
     let slot = number * u64::from(slots) / u64::from(NUMBERS);
     Slot::try_from(slot).unwrap_or(0)
 }
+
+/// Returns the highest power of two up to a number, 1 for 0.
+const fn prior_power_of_two(number: u32) -> u32 {
+    match number.checked_ilog2() {
+        Some(power) => 1 << power,
+        None => 1,
+    }
+}
--- a/acaciaring_core/src/state/members.rs
+++ b/acaciaring_core/src/state/members.rs
@@ -55,12 +55,13 @@
         Ok(())
     }
 
-    /// Puts a member in the place of the former one beside the same start of the same upstream.
+    /// Puts a member in the place of the former one beside the same upstream.
     ///
     /// Guards against a process that is killed beside an upstream that lives on: each restart
     /// would wait until the former identity is proved expired, and then move all its keys, cold,
     /// to other upstreams. The upstream reaches one process only, so the former one has ended;
-    /// what it was to release, the later one releases.
+    /// what it was to release, the later one releases. The same holds for another start of the
+    /// upstream at the same address: the former start has ended too and holds nothing.
     fn resume(&mut self, offset: Offset, id: MemberId) {
         let Some(former) = self.former(id) else { return };
         let Some(member) = self.members.get_mut(&former) else { return };
@@ -73,14 +74,15 @@
         self.forget();
     }
 
-    /// Returns the latest earlier member that is not dead on the same VM, address and start of the upstream.
+    /// Returns the latest earlier member that is not dead on the same VM and address, with the same upstream.
     fn former(&self, id: MemberId) -> Option<MemberId> {
         let member = self.members.get(&id)?;
         let attachment = member.attachment.as_ref().filter(|own| !own.instance.is_empty())?;
         let earlier = self.members.range(..id).map(|(_, earlier)| earlier);
         let mut same = earlier.filter(|earlier| {
             let beside = earlier.attachment.as_ref().is_some_and(|a| {
-                a.instance == attachment.instance && a.workspace == attachment.workspace
+                let names = !a.instance.is_empty();
+                names && a.upstream == attachment.upstream && a.workspace == attachment.workspace
             });
             let place = earlier.vm == member.vm && earlier.peer == member.peer;
             beside && place && earlier.phase != Phase::Dead
--- a/acaciaring_core/src/state/standby.rs
+++ b/acaciaring_core/src/state/standby.rs
@@ -30,6 +30,8 @@
     roles: Vec<u64>,
     /// Rank of each candidate as seen from an owner, without its roles in total.
     rows: BTreeMap<MemberId, Vec<u64>>,
+    /// Standbys picked within this record, by owner and block of slots.
+    blocks: BTreeMap<(MemberId, u32), MemberId>,
 }
 
 impl<'a> Picker<'a> {
@@ -41,7 +43,25 @@
         let attached = counts.attached(workspace);
         let candidates: Vec<_> = attached.filter_map(|id| members.get(&id)).collect();
         let roles = candidates.iter().map(|member| number(counts.standby(member.id))).collect();
-        Self { counts, members, candidates, roles, rows: BTreeMap::new() }
+        let (rows, blocks) = (BTreeMap::new(), BTreeMap::new());
+        Self { counts, members, candidates, roles, rows, blocks }
+    }
+
+    /// Returns how many members may have roles in the workspace.
+    pub(super) fn members(&self) -> usize {
+        self.candidates.len()
+    }
+
+    /// Returns the member that is to stand by for one more unit of `owner`, the same for a block of slots.
+    pub(super) fn pick_in(&mut self, owner: MemberId, block: Option<u32>) -> Option<MemberId> {
+        let Some(block) = block else { return self.pick(owner) };
+        let place = (owner, block);
+        if let Some(standby) = self.blocks.get(&place) {
+            return Some(*standby);
+        }
+        let standby = self.pick(owner)?;
+        self.blocks.insert(place, standby);
+        Some(standby)
     }
 
     /// Returns the member that is to stand by for one more unit of `owner`.
--- a/acaciaring_core/src/state/succession.rs
+++ b/acaciaring_core/src/state/succession.rs
@@ -20,10 +20,11 @@
     pub(super) fn pass_on(&mut self, offset: Offset, lost: MemberId, departure: Departure) {
         for service in self.services.values_mut() {
             let mut picker = Picker::new(&mut self.counts, &self.members, &service.workspace);
-            let touched = |place: &&mut Assignment| {
+            let touched = |place: &Assignment| {
                 [place.owner, place.standby, place.prior, place.rival].contains(&Some(lost))
             };
-            for place in assignments(service).filter(touched) {
+            let blocks = blocks(service, picker.members());
+            for (place, block) in assignments(service).zip(blocks).filter(|(p, _)| touched(p)) {
                 let Some(mut next) = successor(place, lost, departure) else { continue };
                 next.version = offset;
                 if next.owner != place.owner {
@@ -31,7 +32,7 @@
                 }
                 // The old roles must not count while the new standby is picked.
                 picker.take(place);
-                next.standby = next.standby.or_else(|| picker.pick(next.owner?));
+                next.standby = next.standby.or_else(|| picker.pick_in(next.owner?, block));
                 picker.give(&next);
                 *place = next;
             }
@@ -87,6 +88,14 @@
     service.slots.iter_mut().chain(hot)
 }
 
+/// Returns the block of each assignment in the order of [`assignments`], none where each stands alone.
+pub(super) fn blocks(service: &Service, members: usize) -> Vec<Option<u32>> {
+    let slots = (0..).zip(&service.slots);
+    let block = |slot| service.founded.then(|| service.block(slot, members));
+    let slots = slots.map(|(slot, _)| block(slot));
+    slots.chain(service.hot.iter().map(|_| None)).collect()
+}
+
 /// Returns the assignment without the lost member, or `None` when it has no part in it.
 ///
 /// A missing standby is to be picked; version and token are to be set.
--- a/acaciaring_core/src/state/units.rs
+++ b/acaciaring_core/src/state/units.rs
@@ -5,7 +5,7 @@
 use acaciaring_schema::log;
 
 use super::standby::Picker;
-use super::succession::assignments;
+use super::succession::{assignments, blocks};
 use super::{Assignment, HotKey, Member, NUMBERS, Rejection, Service, State};
 use crate::id::{KeyHash, MemberId, Name, Offset, UnitId};
 
@@ -27,12 +27,24 @@
         }
         let Some(service) = self.services.get_mut(&*assign.workspace) else { return Ok(()) };
         let mut picker = Picker::new(&mut self.counts, &self.members, &assign.workspace);
-        for place in assignments(service).filter(|place| place.owner.is_none()) {
-            let Some((count, owner)) = owners.pop_first() else { break };
+        let blocks = blocks(service, owners.len());
+        let mut chosen: BTreeMap<u32, MemberId> = BTreeMap::new();
+        for (place, block) in assignments(service).zip(blocks) {
+            if place.owner.is_some() {
+                continue;
+            }
+            let known = block.and_then(|block| chosen.get(&block).copied());
+            let taken = |(_, id): &&(usize, MemberId)| Some(*id) == known;
+            let Some(least) = owners.iter().find(taken).or_else(|| owners.first()).copied() else {
+                break;
+            };
+            let (count, owner) = least;
+            owners.remove(&least);
             owners.insert((count + 1, owner));
+            chosen.extend(block.map(|block| (block, owner)));
             let next = Assignment {
                 owner: Some(owner),
-                standby: picker.pick(owner),
+                standby: picker.pick_in(owner, block),
                 prior: place.prior.filter(|prior| *prior != owner),
                 rival: place.rival.filter(|rival| *rival != owner),
                 version: offset,
--- a/acaciaring_core/tests/support/fleet.rs
+++ b/acaciaring_core/tests/support/fleet.rs
@@ -330,7 +330,7 @@
             let busy = busy.round() as u32;
             // An upstream that cannot keep up fills its queue.
             let busy = if busy > SLOTS { busy.min(3 * SLOTS) } else { busy };
-            server.load = Some(Load { rate, busy, capacity: SLOTS, at: self.now });
+            server.load = Some(Load { rate, busy, capacity: SLOTS, speed: 1.0, at: self.now });
         }
     }
 
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Balance {
     loads: HashMap<MemberId, Load>,
+    /// Mean times that requests take at other members' upstreams, where they are known.
+    services: HashMap<MemberId, Duration>,
     history: History,
     planned: Time,
     reported: Time,
@@ -56,7 +58,7 @@
         if retiring {
             return;
         }
-        if now.since(self.balance.reported) >= REPORT {
+        if now.since(self.balance.reported) >= REPORT.min(self.parts.interval) {
             self.balance.reported = now;
             self.report_load();
             self.report_imbalance(now);
@@ -79,7 +81,9 @@
         let Some(identity) = &self.identity else { return };
         let me = identity.me;
         let (busy, capacity) = self.parts.gate.load();
-        let loads = Loads { member: me.0, rate: self.parts.gate.rate(), busy, capacity };
+        let service = self.parts.gate.mean_time().as_micros();
+        let service = u32::try_from(service).unwrap_or(0);
+        let loads = Loads { member: me.0, rate: self.parts.gate.rate(), busy, capacity, service };
         let datagram = Datagram { body: Some(datagram::Body::Loads(loads)) };
         let units = self.state.services().flat_map(Service::units);
         let mut owners: Vec<MemberId> = units
@@ -118,12 +122,19 @@
     #[expect(clippy::cast_precision_loss, reason = "a rate is far below the exact range")]
     pub(super) fn on_loads(&mut self, now: Time, loads: &Loads) {
         let rate = loads.rate as f64 / 1000.0;
-        let load = Load { rate, busy: loads.busy, capacity: loads.capacity, at: now };
-        self.balance.loads.insert(MemberId(loads.member), load);
+        let load = Load { rate, busy: loads.busy, capacity: loads.capacity, speed: 1.0, at: now };
+        let member = MemberId(loads.member);
+        self.balance.loads.insert(member, load);
+        if loads.service > 0 {
+            let service = Duration::from_micros(loads.service.into());
+            self.balance.services.insert(member, service);
+        }
         let state = &self.state;
         self.balance
             .loads
             .retain(|id, _| state.member(*id).is_some_and(|member| member.phase != Phase::Dead));
+        let loads = &self.balance.loads;
+        self.balance.services.retain(|id, _| loads.contains_key(id));
     }
 
     /// Notes the switchovers that a batch of records has brought.
@@ -177,6 +188,7 @@
             } else {
                 self.balance.loads.get(&member.id).copied()
             };
+            let load = load.map(|load| Load { speed: self.speed(member.id, me), ..load });
             let data_centre = Arc::clone(&member.data_centre);
             members.insert(member.id, Candidate { data_centre, load });
         }
@@ -195,7 +207,22 @@
     #[expect(clippy::cast_precision_loss, reason = "a rate is far below the exact range")]
     fn own_load(&self, now: Time) -> Load {
         let (busy, capacity) = self.parts.gate.load();
-        Load { rate: self.parts.gate.rate() as f64 / 1000.0, busy, capacity, at: now }
+        let rate = self.parts.gate.rate() as f64 / 1000.0;
+        Load { rate, busy, capacity, speed: 1.0, at: now }
+    }
+
+    /// Returns how fast a member's upstream is, relative to the mean of those that are known.
+    ///
+    /// Guards against load that is even by count and not by time: upstreams of one service differ
+    /// in speed by more than two times, and the slow ones would be full while the others idle.
+    fn speed(&self, member: MemberId, me: MemberId) -> f64 {
+        let own = self.parts.gate.mean_time();
+        let others = self.balance.services.values().copied();
+        let known: Vec<f64> = others.chain([own]).map(|time| time.as_secs_f64()).collect();
+        let count = u32::try_from(known.len()).map_or(1.0, f64::from);
+        let mean = known.iter().sum::<f64>() / count;
+        let time = if member == me { Some(&own) } else { self.balance.services.get(&member) };
+        time.filter(|time| !time.is_zero()).map_or(1.0, |time| mean / time.as_secs_f64())
     }
 
     /// Proposes switchovers of units that this member serves; returns them.
@@ -228,9 +255,14 @@
         if self.proposals.pending(&purpose) {
             return;
         }
+        let given = plan.handoffs.iter().filter(|(_, to)| *to == target).map(|(unit, _)| *unit);
+        // A unit that was taken over may still be held by the upstream beside this member.
         let units: Vec<UnitId> =
-            plan.handoffs.iter().filter(|(_, to)| *to == target).map(|(unit, _)| *unit).collect();
+            given.filter(|unit| !self.upstream_holds(now, workspace, *unit)).collect();
         let messages = self.units(workspace, &units);
+        if messages.is_empty() {
+            return;
+        }
         let Some(identity) = &mut self.identity else { return };
         let renounced: Vec<(Name, UnitId, Offset)> = messages
             .iter()
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -179,6 +179,11 @@
         self.holding.holds.may_hold(now, unit, &service.numbers(unit))
     }
 
+    /// Returns true while the upstream may still hold anything.
+    pub(super) fn holds_any(&self, now: Time) -> bool {
+        self.holding.reports && self.holding.holds.may_hold_any(now)
+    }
+
     /// Returns true when a process that starts anew here takes this one's place at once.
     pub(super) fn resumable(&self) -> bool {
         self.holding.reports && self.announced.is_some() && self.attached()
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -100,6 +100,8 @@
     pub(crate) declarations: Arc<Declarations>,
     /// Longest time for which the upstream is told to hold its units.
     pub(crate) hold: Duration,
+    /// Time between two announcements of the upstream.
+    pub(crate) beat: Duration,
 }
 
 /// Join of an identity that is not yet in the log.
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -12,21 +12,18 @@
 use super::proposal::{Proposal, Purpose};
 use super::{Announced, Control};
 use crate::announce::{Announcement, Phase};
+use crate::declared::Declared;
 use crate::metrics::Counter;
 use crate::view::Link;
 
 /// Time for which members may join before slots without owner are assigned.
 const SETTLE: Duration = Duration::from_secs(1);
 
-/// Slots of a declared service for each of its members.
+/// Slots of a declared service.
 ///
-/// Enough to even out the load in small steps; few enough that a report's reply has room for
-/// the slots of several members that were lost.
-const SLOTS_EACH: u32 = 32;
-
-/// Fewest and most slots of a declared service; at the target size a slot has 16 keys.
-const SLOTS_LEAST: u32 = 64;
-const SLOTS_MOST: u32 = 4096;
+/// With 16 numbers each, a few busy neighbours fall into several slots; more would cost each
+/// member time at every record.
+const SLOTS: u32 = 4096;
 
 /// Delay of an assignment per rank, so that not all members append it.
 const STAGGER: Duration = Duration::from_millis(300);
@@ -149,15 +146,9 @@
     }
 
     /// Returns the count of slots into which a declared service is divided, 0 for others.
-    ///
-    /// It stays for good, so it follows from the members that are there at the beginning.
     fn slots(&self, workspace: &Name) -> u32 {
-        if !self.declared.as_ref().is_some_and(|declared| declared.keyed.contains(workspace)) {
-            return 0;
-        }
-        let members = u32::try_from(self.state.members_of(workspace).count()).unwrap_or(u32::MAX);
-        let slots = members.saturating_mul(SLOTS_EACH).checked_next_power_of_two();
-        slots.unwrap_or(SLOTS_MOST).clamp(SLOTS_LEAST, SLOTS_MOST)
+        let keyed = |declared: &Arc<Declared>| declared.keyed.contains(workspace);
+        if self.declared.as_ref().is_some_and(keyed) { SLOTS } else { 0 }
     }
 
     fn assignable(&self, service: &Service) -> bool {
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -84,7 +84,7 @@
             }
             Some(Phase::Alive) if retiring == Retiring::Lease => self.exit(now),
             Some(Phase::Alive) => self.leave(now),
-            Some(Phase::Leaving) if self.all_released() => self.exit(now),
+            Some(Phase::Leaving) if self.all_released() && !self.holds_any(now) => self.exit(now),
             Some(Phase::Leaving) => {}
             Some(Phase::Dead) | None => self.end_identity(),
         }
@@ -93,7 +93,8 @@
     fn watch_upstream(&mut self, now: Time) {
         let Some(announced) = &self.announced else { return };
         let refused = self.parts.shared.refused.get() > announced.at;
-        let silence = if refused { REFUSED_SILENCE } else { SILENCE };
+        let beat = self.parts.beat;
+        let silence = if refused { REFUSED_SILENCE.max(beat * 2) } else { SILENCE.max(beat * 4) };
         if now.since(announced.at) < silence {
             return;
         }
@@ -145,6 +146,11 @@
                     return;
                 }
                 if assignment.standby == Some(identity.me) {
+                    // Taken over, and still held: whoever stands by next could serve beside it.
+                    let holds = &self.holding.holds;
+                    if self.holding.reports && holds.may_hold(now, unit, &service.numbers(unit)) {
+                        return;
+                    }
                     renounced.push((Arc::clone(workspace), unit, assignment.version));
                 }
             }
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -113,6 +113,7 @@
             Arc::clone(&shared),
             edges.outlet(),
             options::admission_settings(settings),
+            options::heat_settings(settings),
             transport.clone(),
             outbox.clone(),
             metrics.clone(),
@@ -177,6 +178,7 @@
             log: Arc::clone(&log),
             declarations,
             hold: settings.upstream.hold,
+            beat: settings.upstream.beat,
         };
         gauges::start(&parts.shared, &parts.gate, metrics);
         let wait = settings.log.wait;
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -4,6 +4,7 @@
 
 use acaciaring_core::admission::AdmissionSettings;
 use acaciaring_core::balance::BalanceSettings;
+use acaciaring_core::heat::HeatSettings;
 use acaciaring_core::lease::LeaseSettings;
 use acaciaring_core::retry::RetrySettings;
 use acaciaring_core::state::HOT_MAX;
@@ -14,6 +15,12 @@
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
 
+/// Decisions of balance for which a unit that has moved stays, and a key has to be cold.
+const REST: u32 = 60;
+
+/// Decisions of balance for which a member that has received a hot key gets no other units.
+const SETTLE: u32 = 4;
+
 /// Room for headers and the like in a message between members, in bytes.
 const ENVELOPE: u64 = 256 << 10;
 
@@ -69,6 +76,11 @@
     RetrySettings { share: settings.limits.retry_ratio, ..RetrySettings::default() }
 }
 
+/// Returns how heat is measured: over a few decisions of balance.
+pub(super) fn heat_settings(settings: &Settings) -> HeatSettings {
+    HeatSettings { half_life: settings.balance.interval * 2, ..HeatSettings::default() }
+}
+
 /// Returns the settings of balance.
 pub(super) fn balance_settings(settings: &Settings) -> BalanceSettings {
     let balance = &settings.balance;
@@ -76,6 +88,9 @@
         tolerance: balance.hysteresis,
         least_moves: balance.moves as usize,
         hot_keys: HOT_MAX,
+        rest: balance.interval * REST,
+        settle: balance.interval * SETTLE,
+        merge_after: balance.interval * REST,
         ..BalanceSettings::default()
     }
 }
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -61,6 +61,8 @@
     transport: Transport,
     outbox: Outbox,
     heat: Mutex<HashMap<Name, Heat>>,
+    /// How heat is measured.
+    warmth: HeatSettings,
     metrics: Metrics,
 }
 
@@ -80,6 +82,7 @@
         shared: Arc<Shared>,
         outlet: Arc<dyn Outlet>,
         admission: AdmissionSettings,
+        warmth: HeatSettings,
         transport: Transport,
         outbox: Outbox,
         metrics: Metrics,
@@ -93,6 +96,7 @@
             transport,
             outbox,
             heat: Mutex::default(),
+            warmth,
             metrics,
         }
     }
@@ -270,13 +274,18 @@
         self.queue.service_time()
     }
 
+    /// Returns the smoothed time that a request of any rank takes at the upstream.
+    pub(crate) fn mean_time(&self) -> Duration {
+        self.queue.mean_time()
+    }
+
     /// Looks at the heat of a workspace's units.
     pub(crate) fn with_heat<T>(&self, workspace: &Name, look: impl FnOnce(&mut Heat) -> T) -> T {
         let now = clock::now();
         let mut heat = self.heat.lock();
         look(
             heat.entry(Arc::clone(workspace))
-                .or_insert_with(|| Heat::new(now, HeatSettings::default())),
+                .or_insert_with(|| Heat::new(now, self.warmth.clone())),
         )
     }
 
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -74,6 +74,11 @@
         self.admission.lock().service_time(Rank::Interactive)
     }
 
+    /// Returns the smoothed time that any request takes.
+    pub(crate) fn mean_time(&self) -> Duration {
+        self.admission.lock().mean_time()
+    }
+
     /// Takes in what the upstream announces, twice a second.
     ///
     /// Only a change has an effect. Guards against an upstream that sheds load and announces
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -116,9 +116,13 @@
         let sent = self.sent.link.received();
         match time::timeout(patience, self.sent.reader.next::<Reply>()).await {
             Ok(Ok(Reply { body: Some(reply::Body::Answer(answer)) })) => {
+                self.sent.link.heard.touch();
                 return RequestOutcome::Answer(answer);
             }
-            Ok(Ok(Reply { body: Some(reply::Body::Arrived(_)) })) => self.arrived = true,
+            Ok(Ok(Reply { body: Some(reply::Body::Arrived(_)) })) => {
+                self.sent.link.heard.touch();
+                self.arrived = true;
+            }
             Ok(Ok(_)) => return RequestOutcome::Lost,
             Ok(Err(error)) => return self.broken(&error).await,
             Err(_) if self.sent.link.received() == sent => return self.recover().await,
@@ -130,7 +134,10 @@
         }
         let answer = answer(&mut self.sent.reader);
         match watched(self.shared, &self.sent.link, PATIENCE, answer).await {
-            Some(Ok(answer)) => RequestOutcome::Answer(answer),
+            Some(Ok(answer)) => {
+                self.sent.link.heard.touch();
+                RequestOutcome::Answer(answer)
+            }
             Some(Err(error)) => self.broken(&error).await,
             None => self.recover().await,
         }
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -74,6 +74,25 @@
     LostSnafu { peer: to }.fail()
 }
 
+/// Time since the peer was last heard within which a message is sent without a test.
+///
+/// Guards against a member that has ended while the connection to it stays open here: a
+/// message that was written has perhaps arrived, so each request that meets such a connection
+/// would end as one that may have run. A test beforehand tells that nothing was sent.
+const FRESH: Duration = Duration::from_millis(300);
+
+/// Returns true when the other end of a connection is there, asked if it was not heard lately.
+async fn is_there(shared: &Shared, link: &Link) -> bool {
+    if link.heard.within(FRESH) {
+        return true;
+    }
+    let there = probe(shared, link, NO_ATTEMPT).await.is_some();
+    if there {
+        link.heard.touch();
+    }
+    there
+}
+
 /// Writes a message whole on a connection to `to`.
 ///
 /// An error means that the peer never gets the whole message.
@@ -91,6 +110,9 @@
         };
         let link = link.context(UnreachableSnafu { peer: to })?;
         older = link.id;
+        if !is_there(shared, &link).await {
+            continue;
+        }
         let limit = deadline.min(Instant::now() + patience(shared, &frame));
         let opened = time::timeout_at(limit, link.open(shared.settings.limit)).await;
         let Ok(Some((mut stream, reader))) = opened else {
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -57,7 +57,7 @@
     pub process: u64,
     /// QUIC connection.
     pub conn: Connection,
-    /// When the peer last sent a datagram or opened a stream.
+    /// When the peer last sent a datagram, opened a stream or answered.
     pub heard: Heard,
     /// Set once another connection has taken this one's place.
     retired: AtomicBool,
--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -51,7 +51,7 @@
         let now = clock::now();
         let mut search = Search {
             soon: plan.deadline.min(now + PATIENCE),
-            end: plan.deadline.min(now + LONG_PATIENCE),
+            end: plan.deadline.min(now + self.patience()),
             tries: 0,
             hint: None,
             last: Refusal::not_run(Reason::Unreachable).after(COME_BACK),
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Returns for how long a few requests at a time may search.
+    ///
+    /// A caller that is told at once when to come back is served as soon as one that waits, and
+    /// may do something else meanwhile; only the wait for a move that is under way is shorter.
+    fn patience(&self) -> Duration {
+        if self.shared.declares { PATIENCE } else { LONG_PATIENCE }
+    }
+
     /// Makes one try, if there is a member to try; an error is the final answer.
     async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Option<Answer>, Refusal> {
         let view = self.shared.view();
