--- a/acaciaring_core/src/balance/moves.rs
+++ b/acaciaring_core/src/balance/moves.rs
@@ -29,7 +29,7 @@
     let mut free = survey.own.clone();
     free.retain(|own| !history.rests(now, own.unit, settings.rest));
     let mut outlook = Outlook { survey, view, own: survey.load, others: survey.loads.clone() };
-    let mut chosen = Vec::new();
+    let mut chosen: Vec<UnitId> = Vec::new();
     for own in free.iter().filter(|own| homeward.contains(&own.unit)).take(left) {
         outlook.apply(own);
         chosen.push(own.unit);
@@ -43,14 +43,21 @@
         free.retain(|own| !chosen.contains(&own.unit));
         chosen.extend(outlook.relieve(settings, free, left));
     }
-    chosen
+    let whole = |unit: &UnitId| survey.own.iter().find(|own| own.unit == *unit);
+    let units =
+        |unit: UnitId| whole(&unit).map_or_else(|| vec![unit], |own| own.units(view, &survey.own));
+    chosen.into_iter().flat_map(units).collect()
 }
 
 /// Returns how many units may move now.
 fn allowance(now: Time, settings: &BalanceSettings, survey: &Survey, history: &History) -> usize {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share of a u32")]
     let share = (survey.fair * settings.moves) as usize;
-    share.max(settings.least_moves).saturating_sub(history.own_moves(now))
+    let units = share.max(settings.least_moves).saturating_sub(history.own_moves(now));
+    // A block counts by its slots.
+    let blocks = survey.own.iter().filter(|own| own.block.is_some()).count();
+    let slots = survey.owned.div_ceil(blocks.max(1)).max(1);
+    if blocks > 0 { units.div_ceil(slots) } else { units }
 }
 
 impl Outlook<'_> {
@@ -82,7 +89,9 @@
     /// lag, and many give at once.
     fn fill(&mut self, settings: &BalanceSettings, free: &[OwnUnit], left: usize) -> Vec<OwnUnit> {
         let mut chosen = Vec::new();
+        let slots = self.survey.owned.div_ceil(self.survey.own.len().max(1)).max(1);
         for (member, quota) in shares::fills(self.view, settings, self.survey) {
+            let quota = if self.view.service.founded { quota / slots } else { quota };
             let typical = self.survey.mean / self.survey.fair;
             let mut units: Vec<_> = free.iter().filter(|own| own.standby == member).collect();
             let distance = |own: &OwnUnit| (self.load_at(member, own.rate) - typical).abs();
--- a/acaciaring_core/src/balance/survey.rs
+++ b/acaciaring_core/src/balance/survey.rs
@@ -14,10 +14,13 @@
     pub(super) backed: u32,
 }
 
-/// Own unit that has a standby.
+/// Own unit that has a standby, or a block of neighbouring slots that has one standby.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OwnUnit {
+    /// The unit, or the first slot of the block.
     pub(super) unit: UnitId,
+    /// Block of which all own slots with this standby move together.
+    pub(super) block: Option<u32>,
     pub(super) standby: MemberId,
     /// Requests a second.
     pub(super) rate: f64,
@@ -29,6 +32,8 @@
     /// Slots of each candidate.
     pub(super) counts: BTreeMap<MemberId, Count>,
     pub(super) own: Vec<OwnUnit>,
+    /// Own units, those of blocks counted one by one.
+    pub(super) owned: usize,
     /// Fair count of slots per member.
     pub(super) fair: f64,
     /// Own load.
@@ -51,7 +56,7 @@
         settings: &BalanceSettings,
         history: &History,
     ) -> Self {
-        let (counts, own) = count(now, view);
+        let (counts, own, owned) = count(now, view);
         let fair = fair(view, counts.len());
         let costs = Costs::new(view, settings, fair);
         let ample = ample(view);
@@ -70,7 +75,7 @@
             }
         }
         let tolerance = settings.tolerance;
-        Self { counts, own, fair, load, per_rate, mean, loads: known, tolerance, costs }
+        Self { counts, own, owned, fair, load, per_rate, mean, loads: known, tolerance, costs }
     }
 
     /// Returns the load from which a move at this cost is worth it, as [`Costs::relative`] gives it.
@@ -89,7 +94,7 @@
     }
 }
 
-fn count(now: Time, view: &View<'_>) -> (BTreeMap<MemberId, Count>, Vec<OwnUnit>) {
+fn count(now: Time, view: &View<'_>) -> (BTreeMap<MemberId, Count>, Vec<OwnUnit>, usize) {
     let mut index: HashMap<MemberId, Count> =
         view.members.keys().map(|id| (*id, Count::default())).collect();
     let mut own = Vec::new();
@@ -97,7 +102,7 @@
         if let (Some(owner), Some(standby)) = (assignment.owner, assignment.standby)
             && owner == view.me
         {
-            own.push(OwnUnit { unit, standby, rate: view.heat.rate(now, unit) });
+            own.push(OwnUnit { unit, block: None, standby, rate: view.heat.rate(now, unit) });
         }
         if unit.key.is_some() {
             continue;
@@ -109,7 +114,50 @@
             count.backed += 1;
         }
     }
-    (index.into_iter().collect(), own)
+    let owned = own.len();
+    let own = if view.service.founded { join_blocks(view, &own) } else { own };
+    (index.into_iter().collect(), own, owned)
+}
+
+/// Joins the own slots of each block that have the same standby.
+///
+/// Guards against an upstream that holds more separate ranges than its grants have room for:
+/// what has no room is served by nobody. A slot that makes up most of its block stays apart,
+/// so that it can be parted from its neighbours.
+fn join_blocks(view: &View<'_>, own: &[OwnUnit]) -> Vec<OwnUnit> {
+    let members = view.members.len();
+    let mut blocks: BTreeMap<(u32, MemberId), OwnUnit> = BTreeMap::new();
+    for unit in own {
+        let block = view.service.block(unit.unit.slot, members);
+        let whole = OwnUnit { block: Some(block), rate: 0.0, ..*unit };
+        blocks.entry((block, unit.standby)).or_insert(whole).rate += unit.rate;
+    }
+    let mut apart = Vec::new();
+    for unit in own {
+        let block = view.service.block(unit.unit.slot, members);
+        let Some(whole) = blocks.get_mut(&(block, unit.standby)) else { continue };
+        if whole.unit != unit.unit && unit.rate > whole.rate / 2.0 {
+            whole.rate -= unit.rate;
+            apart.push(*unit);
+        }
+    }
+    blocks.into_values().chain(apart).collect()
+}
+
+impl OwnUnit {
+    /// Returns the units that move together.
+    pub(super) fn units(&self, view: &View<'_>, others: &[Self]) -> Vec<UnitId> {
+        let Some(block) = self.block else { return vec![self.unit] };
+        let members = view.members.len();
+        let apart = |unit: UnitId| others.iter().any(|o| o.block.is_none() && o.unit == unit);
+        let slots = view.service.units().filter(|(unit, assignment)| {
+            let mine = assignment.owner == Some(view.me);
+            let same = assignment.standby == Some(self.standby);
+            let slot = unit.key.is_none() && view.service.block(unit.slot, members) == block;
+            mine && same && slot && !apart(*unit)
+        });
+        slots.map(|(unit, _)| unit).collect()
+    }
 }
 
 fn fair(view: &View<'_>, members: usize) -> f64 {
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -53,6 +53,9 @@
 
 impl Control {
     /// Reports this member's load and proposes moves of its units.
+    ///
+    /// Beside an upstream that reports what it holds, moves are planned when a report has come: its
+    /// reply can then leave out what moves.
     pub(super) fn balance(&mut self, now: Time) {
         let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
         if retiring {
@@ -63,9 +66,16 @@
             self.report_load();
             self.report_imbalance(now);
         }
-        if now.since(self.balance.planned) >= self.parts.interval
-            && self.parts.balance.least_moves > 0
-        {
+        if !self.holding.reports {
+            self.plan_when_due(now);
+        }
+    }
+
+    /// Proposes moves of this member's units, if it is time for it.
+    pub(super) fn plan_when_due(&mut self, now: Time) {
+        let due = now.since(self.balance.planned) >= self.parts.interval;
+        let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
+        if due && !retiring && self.parts.balance.least_moves > 0 {
             self.balance.planned = now;
             self.plan(now);
         }
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -5,13 +5,14 @@
 
 use acaciaring_core::holds::{Holds, Report, Wanted};
 use acaciaring_core::rights::Right;
-use acaciaring_core::state::Service;
+use acaciaring_core::state::{Member, Service};
 use acaciaring_core::{Name, Time, UnitId};
 use tokio::sync::oneshot;
 use tracing::{debug, info, warn};
 
 use super::Control;
 use super::identity::Retiring;
+use super::proposal::Purpose;
 use crate::announce::Phase;
 use crate::heartbeat::{Heartbeat, HeartbeatReply};
 use crate::view::{Permit, Permits};
@@ -22,6 +23,12 @@
 /// requests that are on their way to it.
 const LAST_WORK: Duration = Duration::from_secs(1);
 
+/// Longest time for which the reply to a report waits for a move.
+///
+/// A move is recorded within a few milliseconds, and the next report of the upstream that
+/// releases comes within a tenth of a second; the upstream takes a reply within a second.
+const PATIENCE: Duration = Duration::from_millis(250);
+
 /// What is known of an upstream that reports what it holds.
 #[derive(Debug)]
 pub(super) struct Holding {
@@ -30,11 +37,25 @@
     pub(super) reports: bool,
     /// Since when the upstream is leaving.
     leaving: Option<Time>,
+    /// Report whose reply waits for a move.
+    waiting: Option<Waiting>,
+}
+
+/// Report whose reply waits until a move that is under way shows in it.
+///
+/// The upstream reports every second or so. A unit that moves is without server from the reply
+/// that leaves it out until the reply that gives it to the next one, so each reply that just
+/// misses a move costs that much.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<HeartbeatReply>,
+    room: usize,
+    until: Time,
 }
 
 impl Holding {
     pub(super) fn new(now: Time, hold: Duration) -> Self {
-        Self { holds: Holds::new(now, hold), reports: false, leaving: None }
+        Self { holds: Holds::new(now, hold), reports: false, leaving: None, waiting: None }
     }
 
     /// Returns true once a leaving upstream gets no more requests.
@@ -45,7 +66,8 @@
     /// Returns when something changes by time alone.
     pub(super) fn next(&self, now: Time) -> Option<Time> {
         let closing = self.leaving.map(|since| since + LAST_WORK).filter(|close| now < *close);
-        [self.holds.next_effect(now), closing].into_iter().flatten().min()
+        let waiting = self.waiting.as_ref().map(|waiting| waiting.until);
+        [self.holds.next_effect(now), closing, waiting].into_iter().flatten().min()
     }
 }
 
@@ -80,12 +102,44 @@
         } else if self.holding.leaving.is_none() {
             self.announce(now, announcement);
         }
+        self.dirty = true;
+        self.plan_when_due(now);
+        self.answer_report(now);
+        self.holding.waiting = Some(Waiting { reply, room, until: now + PATIENCE });
+        self.answer_report(now);
+    }
+
+    /// Answers a report, once no move is about to change the answer.
+    pub(super) fn answer_report(&mut self, now: Time) {
+        let moving = self.moving();
+        let due = |waiting: &mut Waiting| !moving || now >= waiting.until;
+        let Some(Waiting { reply, room, .. }) = self.holding.waiting.take_if(due) else { return };
         let answer = HeartbeatReply { grants: self.grants(now, room) };
-        debug!(%instance, ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
+        debug!(ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
+        // The sender may have gone away.
         let _ = reply.send(answer);
         self.dirty = true;
     }
 
+    /// Returns true while a move of units from or to this member is about to be settled.
+    fn moving(&self) -> bool {
+        let Some(identity) = &self.identity else { return false };
+        let me = Some(identity.me);
+        let member = self.state.member(identity.me);
+        let Some(attachment) = member.and_then(|m| m.attachment.as_ref()) else { return false };
+        let workspace = &attachment.workspace;
+        if self.proposals.pending(&Purpose::Switchover(Arc::clone(workspace))) {
+            return true;
+        }
+        let Some(service) = self.state.service(workspace) else { return false };
+        // A former owner that has gone releases nothing.
+        let alive = |id| self.state.member(id).is_some_and(Member::alive);
+        service.units().any(|(unit, assignment)| {
+            let prior = assignment.prior.filter(|prior| Some(*prior) != me && alive(*prior));
+            assignment.owner == me && prior.is_some() && !identity.rights.serving(workspace, unit)
+        })
+    }
+
     /// Notes that the upstream is leaving and reports no more.
     pub(super) fn on_upstream_leaves(&mut self, now: Time, instance: &Name) {
         if self.holding.holds.instance().is_none_or(|present| present == instance) {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -279,6 +279,7 @@
         self.cast_votes(now);
         self.refresh(now);
         self.hand_over(now);
+        self.answer_report(now);
         if now.since(self.duties) >= DUTIES {
             self.duties = now;
             self.proposals.expire(now);
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -15,6 +15,9 @@
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
 
+/// Decisions of balance in which the heat of a unit loses half of its weight.
+const HEAT: u32 = 2;
+
 /// Decisions of balance for which a unit that has moved stays, and a key has to be cold.
 const REST: u32 = 60;
 
@@ -78,7 +81,7 @@
 
 /// Returns how heat is measured: over a few decisions of balance.
 pub(super) fn heat_settings(settings: &Settings) -> HeatSettings {
-    HeatSettings { half_life: settings.balance.interval * 2, ..HeatSettings::default() }
+    HeatSettings { half_life: settings.balance.interval * HEAT, ..HeatSettings::default() }
 }
 
 /// Returns the settings of balance.
