Believe what an upstream holds only after its reports agree for half a second

What fits is a report that was held up from before the upstream held anything, taken as the first one by the new process, which then released at once. Also: no moves are planned while a process stops; heat and rest of balance are settings.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -18,6 +18,12 @@
 /// Time from a reply until the upstream acts on what it was newly given.
 const EFFECT: Duration = Duration::from_millis(4);
 
+/// Time from the first report until what a second one says is believed.
+///
+/// The first report that a process sees may be one that was held up for seconds, from before the
+/// upstream held anything.
+const CONFIRM: Duration = Duration::from_millis(500);
+
 /// Part of its own time by which the clock of the upstream may run slow, with a reserve.
 const DRIFT: f64 = 0.03;
 
@@ -120,8 +126,9 @@
     former: Vec<Name>,
     /// Another instance that has reported once, its number and when.
     candidate: Option<Candidate>,
-    /// When the present instance last reported.
+    /// When the present instance last reported, and first.
     heard: Time,
+    first: Time,
     reported: Vec<Held>,
     given: BTreeMap<UnitId, Given>,
     freed: Vec<Freed>,
@@ -142,6 +149,7 @@
             former: Vec::new(),
             candidate: None,
             heard: now,
+            first: now,
             reported: Vec::new(),
             given: BTreeMap::new(),
             freed: Vec::new(),
@@ -183,6 +191,9 @@
         }
         self.candidate = None;
         self.heard = now;
+        if !same {
+            self.first = now;
+        }
         self.instance = Some(Name::clone(instance));
         self.sequence = sequence;
         self.reported = held;
@@ -208,8 +219,7 @@
     /// Returns true while the upstream may hold anything.
     #[must_use]
     pub fn may_hold_any(&self, now: Time) -> bool {
-        let unknown = self.instance.is_none() && self.former.is_empty();
-        now < self.until && (unknown || !self.reported.is_empty() || !self.given.is_empty())
+        now < self.until && (self.unknown() || !self.reported.is_empty() || !self.given.is_empty())
     }
 
     /// Notes that the upstream has gone: the start that has reported holds nothing any more.
@@ -302,9 +312,19 @@
         if now >= self.until {
             return false;
         }
-        let unknown = self.instance.is_none() && self.former.is_empty();
         let reported = self.reported.iter().any(|held| keys.iter().any(|k| meets(k, held)));
-        unknown || reported || self.given.contains_key(&unit)
+        self.unknown() || reported || self.given.contains_key(&unit)
+    }
+
+    /// Returns true while no report says for sure what the upstream holds.
+    ///
+    /// Guards against a process that starts beside a living upstream and sees a report that was
+    /// held up: it would pass on at once what the upstream still holds by the former process.
+    fn unknown(&self) -> bool {
+        if self.instance.is_none() {
+            return self.former.is_empty();
+        }
+        self.former.is_empty() && self.heard.since(self.first) < CONFIRM
     }
 
     /// Returns what the upstream gave out when it released keys, empty when it gave nothing.
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -75,7 +75,7 @@
     pub(super) fn plan_when_due(&mut self, now: Time) {
         let due = now.since(self.balance.planned) >= self.parts.interval;
         let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
-        if due && !retiring && self.parts.balance.least_moves > 0 {
+        if due && !retiring && !self.pausing && self.parts.balance.least_moves > 0 {
             self.balance.planned = now;
             self.plan(now);
         }
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -120,6 +120,7 @@
         if !identity.rights.release(workspace, *unit, assignment) {
             return Vec::new();
         }
+        debug!(%unit, ?assignment, "unit is released");
         self.handover.sent.insert(parcel.clone(), now);
         let heirs = [assignment.owner, assignment.standby];
         heirs.into_iter().flatten().filter(|heir| *heir != identity.me).collect()
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -196,6 +196,9 @@
             let (holder, tally) = (&identity.holder, &identity.tally);
             let right = identity.rights.right(now, &state, holder, tally, &service.workspace, unit);
             let Right::Serve { token, .. } = right else { continue };
+            if !self.holding.holds.serves(now, unit, token) {
+                debug!(%unit, token = token.0, ?assignment, "unit is granted anew");
+            }
             let keys = service.numbers(unit);
             let place = (Arc::clone(&service.workspace), unit);
             let handover = if self.holding.holds.serves(now, unit, token) {
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -15,15 +15,6 @@
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
 
-/// Decisions of balance in which the heat of a unit loses half of its weight.
-const HEAT: u32 = 2;
-
-/// Decisions of balance for which a unit that has moved stays, and a key has to be cold.
-const REST: u32 = 60;
-
-/// Decisions of balance for which a member that has received a hot key gets no other units.
-const SETTLE: u32 = 4;
-
 /// Room for headers and the like in a message between members, in bytes.
 const ENVELOPE: u64 = 256 << 10;
 
@@ -79,9 +70,9 @@
     RetrySettings { share: settings.limits.retry_ratio, ..RetrySettings::default() }
 }
 
-/// Returns how heat is measured: over a few decisions of balance.
+/// Returns how heat is measured.
 pub(super) fn heat_settings(settings: &Settings) -> HeatSettings {
-    HeatSettings { half_life: settings.balance.interval * HEAT, ..HeatSettings::default() }
+    HeatSettings { half_life: settings.balance.heat, ..HeatSettings::default() }
 }
 
 /// Returns the settings of balance.
@@ -91,9 +82,8 @@
         tolerance: balance.hysteresis,
         least_moves: balance.moves as usize,
         hot_keys: HOT_MAX,
-        rest: balance.interval * REST,
-        settle: balance.interval * SETTLE,
-        merge_after: balance.interval * REST,
+        rest: balance.rest,
+        merge_after: balance.rest,
         ..BalanceSettings::default()
     }
 }
