--- a/acaciaring_core/tests/fold/main.rs
+++ b/acaciaring_core/tests/fold/main.rs
@@ -4,6 +4,7 @@
 mod members;
 mod properties;
 mod replica;
+mod resume;
 mod snapshots;
 mod support;
 mod units;
--- /dev/null
+++ b/acaciaring_core/tests/fold/resume.rs
@@ -0,0 +1,141 @@
+//! Processes that take the place of a former one, and services that an assignment makes.
+
+use acaciaring_core::state::{Phase, State};
+use acaciaring_core::{KeyHash, MemberId, UnitId};
+use acaciaring_schema::log::record::Body;
+use acaciaring_schema::log::{Assign, Attach, Join, Leave, Switchover};
+
+use super::support::Log;
+
+const BOOKS: &str = "books";
+
+fn start(log: &mut Log, vm: &str, instance: &str) -> MemberId {
+    let member = MemberId(log.applied(Body::Join(Join {
+        vm: vm.into(),
+        peer: format!("{vm}:7000"),
+        data_centre: vm.into(),
+        region: "free-state".into(),
+        ..Join::default()
+    })));
+    log.improve_lessors(member);
+    log.applied(Body::Attach(Attach {
+        member: member.0,
+        workspace: BOOKS.into(),
+        upstream: format!("{vm}:9000"),
+        fenced: true,
+        instance: instance.into(),
+    }));
+    member
+}
+
+/// Returns a log with members on VMs `a`, `b`, ... and a service of `slots` slots.
+fn service(count: usize, slots: u32) -> (Log, Vec<MemberId>) {
+    let mut log = Log::default();
+    let vms = ["a", "b", "c", "d", "e", "f"];
+    let members: Vec<MemberId> =
+        vms[..count].iter().map(|vm| start(&mut log, vm, &format!("i-{vm}"))).collect();
+    for member in &members {
+        log.improve_lessors(*member);
+    }
+    log.applied(Body::Assign(Assign { workspace: BOOKS.into(), slots }));
+    (log, members)
+}
+
+fn owned(state: &State, member: MemberId) -> Vec<u32> {
+    let units = state.service(BOOKS).expect("founded").units();
+    units.filter(|(_, a)| a.owner == Some(member)).map(|(unit, _)| unit.slot).collect()
+}
+
+#[test]
+fn an_assignment_makes_a_service_whose_slots_are_ranges() {
+    let (log, members) = service(3, 4096);
+    let service = log.state.service(BOOKS).expect("founded");
+    assert_eq!(service.numbers(UnitId::slot(1)), [16..=31]);
+    assert_eq!(service.unit_of(KeyHash(31)), UnitId::slot(1));
+    assert_eq!(service.unit_of(KeyHash(65_535)), UnitId::slot(4095));
+    let counts: Vec<usize> = members.iter().map(|id| owned(&log.state, *id).len()).collect();
+    assert!(counts.iter().all(|count| count.abs_diff(4096 / 3) <= 32), "{counts:?}");
+}
+
+#[test]
+fn an_assignment_without_candidate_makes_nothing() {
+    let mut log = Log::default();
+    log.rejected(Body::Assign(Assign { workspace: BOOKS.into(), slots: 64 }));
+    assert!(log.state.service(BOOKS).is_none());
+}
+
+/// A VM is lost. Its slots fall to others in blocks: single slots here and there would make so
+/// many ranges that the grants of an upstream fit no message.
+#[test]
+fn what_a_lost_member_owned_passes_on_in_blocks() {
+    let (mut log, members) = service(6, 4096);
+    let evict = log.evict(members[0]);
+    log.applied(evict);
+    for member in &members[1..] {
+        let slots = owned(&log.state, *member);
+        let ranges = 1 + slots.windows(2).filter(|pair| pair[0] + 1 != pair[1]).count();
+        assert!(ranges <= 64, "{ranges} ranges");
+    }
+}
+
+/// A process is killed and starts again beside the same upstream. It takes its former place at
+/// once: the upstream reaches one process only, so the former one has ended. Its standby may
+/// have taken over before it reads this, so the owner waits for it, under a higher token.
+#[test]
+fn a_later_process_takes_the_place_of_the_former_one() {
+    let (mut log, members) = service(3, 64);
+    let before: Vec<_> = owned(&log.state, members[0]);
+    let slot = usize::try_from(before[0]).expect("a small slot");
+    let old = log.state.service(BOOKS).expect("founded").slots[slot];
+    let later = start(&mut log, "a", "i-a");
+    assert_eq!(owned(&log.state, later), before);
+    let new = log.state.service(BOOKS).expect("founded").slots[slot];
+    assert_eq!((new.standby, new.rival, new.prior), (old.standby, old.standby, None));
+    assert!(new.token > old.token);
+    assert_eq!(log.state.member(members[0]).map(|member| member.phase), Some(Phase::Dead));
+    let snapshot = log.state.to_snapshot();
+    assert_eq!(State::from_snapshot(&snapshot).expect("valid"), log.state);
+}
+
+#[test]
+fn another_vm_address_or_upstream_takes_nobodys_place() {
+    for (vm, upstream, instance) in
+        [("z", "a:9000", "i-a"), ("a", "a:9001", "i-a"), ("a", "a:9000", "")]
+    {
+        let (mut log, members) = service(3, 64);
+        let before = owned(&log.state, members[0]);
+        let join = Join { vm: vm.into(), peer: "a:7000".into(), ..Join::default() };
+        let member = log.applied(Body::Join(join));
+        let (workspace, upstream, instance) = (BOOKS.into(), upstream.into(), instance.into());
+        log.applied(Body::Attach(Attach { member, workspace, upstream, fenced: true, instance }));
+        assert_eq!(owned(&log.state, members[0]), before, "{vm}");
+    }
+}
+
+/// A process was to release units that it had passed on, and is killed. The next one beside the
+/// upstream must do it, for the upstream may hold them still.
+#[test]
+fn a_later_process_owes_the_releases_of_the_former_one() {
+    let (mut log, members) = service(3, 64);
+    log.applied(Body::Leave(Leave { member: members[0].0 }));
+    let later = start(&mut log, "a", "i-a");
+    let service = log.state.service(BOOKS).expect("founded");
+    let owing = service.units().filter(|(_, a)| a.prior == Some(later)).count();
+    assert!(owing > 0);
+    assert!(service.units().all(|(_, a)| a.prior != Some(members[0])));
+}
+
+/// The owner passes on what it serves. It has had the rival's release by then, so nobody waits
+/// for the rival any more.
+#[test]
+fn a_switchover_ends_the_wait_for_the_rival() {
+    let (mut log, members) = service(3, 64);
+    let slot = owned(&log.state, members[0])[0];
+    let later = start(&mut log, "a", "i-a");
+    let index = usize::try_from(slot).expect("a small slot");
+    let version = log.state.service(BOOKS).expect("founded").slots[index].version;
+    let units = vec![acaciaring_schema::log::Unit { slot, key: None, version }];
+    log.applied(Body::Switchover(Switchover { member: later.0, workspace: BOOKS.into(), units }));
+    let after = log.state.service(BOOKS).expect("founded").slots[index];
+    assert_eq!((after.rival, after.prior), (None, Some(later)));
+}
--- /dev/null
+++ b/acaciaring_core/tests/holds.rs
@@ -0,0 +1,209 @@
+//! Stories of an upstream that holds its units by grant.
+
+use std::time::Duration;
+
+use acaciaring_core::holds::{Freed, Granted, Held, Holds, Report, Wanted};
+use acaciaring_core::{Name, Time, Token, UnitId};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const HOLD: Duration = Duration::from_secs(3);
+const BEAT: Duration = Duration::from_millis(900);
+const UNIT: UnitId = UnitId::slot(1);
+const ROOM: usize = 100;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+fn first() -> Name {
+    "i-1".into()
+}
+
+fn wanted(slot: u32, token: u64) -> Wanted {
+    let keys = std::iter::once(slot * 16..=slot * 16 + 15).collect();
+    Wanted { unit: UnitId::slot(slot), token: Token(token), keys, handover: "".into() }
+}
+
+fn held(slot: u32, token: u64) -> Held {
+    Held { first: slot * 16, last: slot * 16 + 15, token: Token(token) }
+}
+
+fn freed(slot: u32) -> Freed {
+    Freed { first: slot * 16, last: slot * 16 + 15, handover: "h".into() }
+}
+
+/// Reports and is granted what is wanted, with a lease that is long enough.
+fn beat(
+    holds: &mut Holds,
+    now: Time,
+    sequence: u64,
+    held: &[Held],
+    freed: &[Freed],
+    wanted: &[Wanted],
+) -> Vec<Granted> {
+    let report = holds.report(now, &first(), sequence, held.to_vec(), freed.to_vec());
+    assert_eq!(report, Report::Newest);
+    holds.grant(now, now + HOLD * 2, wanted, ROOM).expect("granted").0
+}
+
+fn may_hold(holds: &Holds, now: Time, slot: u32) -> bool {
+    holds.may_hold(now, UnitId::slot(slot), &wanted(slot, 0).keys)
+}
+
+/// Returns the record of an upstream that has held slot 1 under token 7 for a while.
+fn steady() -> Holds {
+    let mut holds = Holds::new(at(0), HOLD);
+    for number in 0..3 {
+        let now = at(number * 900);
+        let known = if number == 0 { Vec::new() } else { vec![held(1, 7)] };
+        beat(&mut holds, now, number + 1, &known, &[], &[wanted(1, 7)]);
+    }
+    holds
+}
+
+#[test]
+fn a_unit_is_served_once_the_upstream_acts_on_its_grant() {
+    let mut holds = Holds::new(at(0), HOLD);
+    let rows = beat(&mut holds, at(0), 1, &[], &[], &[wanted(1, 7)]);
+    assert_eq!(rows.len(), 1);
+    assert!(!holds.serves(at(0), UNIT, Token(7)), "the reply is on its way");
+    let effect = holds.next_effect(at(0)).expect("one is coming");
+    assert!(holds.serves(effect, UNIT, Token(7)));
+    assert!(!holds.serves(effect, UNIT, Token(8)));
+}
+
+/// The lease of the member ends before the upstream's hold does, by the upstream's slow clock.
+/// Another member would take over while the upstream still runs requests.
+#[test]
+fn a_grant_ends_with_the_lease_on_a_slow_clock_too() {
+    let mut holds = steady();
+    holds.report(at(2700), &first(), 9, Vec::new(), Vec::new());
+    let lease = at(2700) + Duration::from_secs(1);
+    let (_, hold) = holds.grant(at(2700), lease, &[wanted(1, 7)], ROOM).expect("granted");
+    assert!(at(2700) + hold.mul_f64(1.02) <= lease, "{hold:?}");
+    assert!(holds.grant(at(2700), at(2700), &[wanted(1, 7)], ROOM).is_none(), "no lease");
+}
+
+/// A unit moves away. It may pass on only once the upstream says that it has let it go, and not
+/// while it works on a request for it.
+#[test]
+fn a_unit_passes_on_only_when_the_upstream_has_released_it() {
+    let mut holds = steady();
+    beat(&mut holds, at(2700), 4, &[held(1, 7)], &[], &[]);
+    assert!(may_hold(&holds, at(2700), 1), "it has not read the reply");
+    beat(&mut holds, at(2800), 5, &[held(1, 7)], &[], &[]);
+    assert!(may_hold(&holds, at(2800), 1), "it still works on a request");
+    beat(&mut holds, at(2900), 6, &[], &[freed(1)], &[]);
+    assert!(!may_hold(&holds, at(2900), 1));
+    assert_eq!(&*holds.handover(&wanted(1, 0).keys), "h");
+}
+
+/// The upstream falls silent. What it was given ends by time, not before.
+#[test]
+fn silence_ends_a_hold_by_time_alone() {
+    let holds = steady();
+    assert!(may_hold(&holds, at(1800) + HOLD, 1));
+    assert!(!may_hold(&holds, at(1800) + HOLD.mul_f64(1.04), 1));
+}
+
+/// A process is killed and starts again beside a living upstream. The first report that reaches
+/// it was held up on its way, from before the upstream held anything. Taken at its word, the
+/// process would release units that the upstream still holds by the former process.
+#[test]
+fn the_first_report_alone_proves_nothing() {
+    let mut holds = Holds::new(at(0), HOLD);
+    assert!(may_hold(&holds, at(0), 1), "nothing is known yet");
+    assert_eq!(holds.report(at(10), &first(), 2, Vec::new(), Vec::new()), Report::Newest);
+    assert!(may_hold(&holds, at(20), 1));
+    assert_eq!(holds.report(at(700), &first(), 90, vec![held(1, 7)], Vec::new()), Report::Newest);
+    assert!(may_hold(&holds, at(710), 1), "the upstream still holds it");
+    assert!(!may_hold(&holds, at(710), 2), "two reports agree");
+}
+
+/// A report of a server that has gone arrives while the next one at its address is alive. Taken
+/// for a new start, it would end all holds of the living one, and later ones would be refused.
+#[test]
+fn a_report_of_another_instance_is_believed_when_the_present_one_is_silent() {
+    let mut holds = steady();
+    let other: Name = "i-0".into();
+    assert_eq!(holds.report(at(2000), &other, 50, Vec::new(), Vec::new()), Report::Late);
+    assert!(may_hold(&holds, at(2000), 1));
+    beat(&mut holds, at(2700), 4, &[held(1, 7)], &[], &[wanted(1, 7)]);
+    assert_eq!(holds.report(at(2800), &other, 51, Vec::new(), Vec::new()), Report::Late);
+    assert_eq!(holds.report(at(3700), &other, 52, Vec::new(), Vec::new()), Report::Another);
+    assert!(!may_hold(&holds, at(3700), 1), "the former start has ended");
+    assert_eq!(holds.report(at(3800), &first(), 99, vec![held(1, 7)], Vec::new()), Report::Late);
+}
+
+#[test]
+fn a_report_that_is_older_than_the_last_one_changes_nothing() {
+    let mut holds = steady();
+    assert_eq!(holds.report(at(1900), &first(), 2, Vec::new(), vec![freed(1)]), Report::Late);
+    assert!(may_hold(&holds, at(1900), 1));
+}
+
+/// An upstream owns more separate ranges than a reply has room for. What it holds already must
+/// stay with it; else ranges would come and go with each reply.
+#[test]
+fn want_of_room_takes_nothing_away() {
+    let mut holds = Holds::new(at(0), HOLD);
+    holds.report(at(0), &first(), 1, Vec::new(), Vec::new());
+    let some: Vec<Wanted> = (10..14).map(|number| wanted(number * 2, 7)).collect();
+    holds.grant(at(0), at(0) + HOLD * 2, &some, 4).expect("granted");
+    let more: Vec<Wanted> = (0..14).map(|number| wanted(number * 2, 7)).collect();
+    let (rows, _) = holds.grant(at(900), at(900) + HOLD * 2, &more, 6).expect("granted");
+    let slots: Vec<u32> = rows.iter().map(|row| row.first / 16).collect();
+    assert_eq!(slots, [0, 2, 20, 22, 24, 26]);
+    let (joined, _) = holds
+        .grant(at(900), at(900) + HOLD * 2, &(0..200).map(|n| wanted(n, 7)).collect::<Vec<_>>(), 6)
+        .expect("granted");
+    assert_eq!(joined.len(), 1, "neighbours are one range");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever is lost, delayed or answered late: while the upstream holds a unit, this member
+    /// says that it may.
+    #[test]
+    fn what_is_held_is_never_said_to_be_free(
+        steps in prop::collection::vec((0_u64..1500, any::<bool>(), any::<bool>(), any::<bool>()), 1..40),
+    ) {
+        let mut holds = Holds::new(at(0), HOLD);
+        let mut now = at(0);
+        let mut sequence = 0;
+        // The upstream: until when it holds the unit, and whether it has released it.
+        let (mut until, mut releases) = (Time::ZERO, Vec::new());
+        for (pause, wants, arrives, replied) in steps {
+            now = now + Duration::from_millis(pause);
+            let holding = now < until;
+            prop_assert!(!holding || may_hold(&holds, now, 1), "held at {now:?} until {until:?}");
+            sequence += 1;
+            if !arrives {
+                continue;
+            }
+            let known = if holding { vec![held(1, 7)] } else { Vec::new() };
+            let freed = std::mem::take(&mut releases);
+            holds.report(now, &first(), sequence, known, freed.clone());
+            let wanted = if wants { vec![wanted(1, 7)] } else { Vec::new() };
+            let Some((rows, hold)) = holds.grant(now, now + HOLD, &wanted, ROOM) else { continue };
+            if !replied {
+                releases = freed;
+                continue;
+            }
+            if !rows.is_empty() {
+                // The clock of the upstream runs 2 % slow.
+                until = now + hold.mul_f64(1.02);
+            } else if holding {
+                until = now;
+                releases.push(Freed { first: 16, last: 31, handover: "h".into() });
+            }
+        }
+        let _ = BEAT;
+    }
+}
--- a/acaciaring_core/tests/rights.rs
+++ b/acaciaring_core/tests/rights.rs
@@ -190,3 +190,44 @@
     owner.rights.inherit(&workspace, key);
     assert!(matches!(right(&mut owner), Right::Serve { .. }));
 }
+
+/// The owner's process is killed; its standby has taken over when the next process is put in the
+/// owner's place. Without a wait for the standby both would serve: the standby goes on until it
+/// reads of it.
+#[test]
+fn owner_in_a_former_place_waits_for_the_standby_that_may_have_taken_over() {
+    let before = assignment(P, S, None, 3, 3);
+    let mut standby = Process::new(S);
+    assert!(standby.serves(&before, &[P]));
+    let after = Assignment { rival: Some(S), ..assignment(T, S, None, 8, 8) };
+    let mut owner = Process::new(T);
+    assert!(!owner.serves(&after, &[]), "the standby may serve");
+    assert!(standby.serves(&before, &[P]), "until it reads the record");
+    assert!(!standby.serves(&after, &[]), "then it stops");
+    owner.receive(S, 3);
+    assert!(!owner.serves(&after, &[]), "a release from before says nothing");
+    owner.receive(S, 8);
+    assert!(owner.serves(&after, &[]));
+}
+
+#[test]
+fn owner_in_a_former_place_serves_when_the_standby_is_lost_for_good() {
+    let after = Assignment { rival: Some(S), ..assignment(T, S, None, 8, 8) };
+    assert!(Process::new(T).serves(&after, &[S]));
+}
+
+/// The standby's takeover was under a token above the owner's former one. The owner's next
+/// process must have a higher one still, or upstreams would refuse it and run old work.
+#[test]
+fn tokens_rise_over_a_takeover_and_the_return_of_the_owner() {
+    let Right::Serve { token: taken, .. } =
+        Process::new(S).right_at(Time::ZERO, &assignment(P, S, None, 3, 5), &[P])
+    else {
+        panic!("the standby serves");
+    };
+    let after = Assignment { rival: Some(S), ..assignment(T, S, None, 8, 8) };
+    let Right::Serve { token, .. } = Process::new(T).right_at(Time::ZERO, &after, &[S]) else {
+        panic!("the owner serves");
+    };
+    assert!(token > taken, "{token:?} {taken:?}");
+}
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -18,7 +18,7 @@
 use self::support::{Authority, Node, PATIENCE, echo, request};
 
 #[path = "../../tests/peer_support/mod.rs"]
-mod support;
+pub(crate) mod support;
 
 fn shared(transport: &Transport) -> &Arc<Shared> {
     transport.shared()
--- a/acaciaringd/src/peer/trust.rs
+++ b/acaciaringd/src/peer/trust.rs
@@ -157,3 +157,6 @@
         self.schemes()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/acaciaringd/src/peer/trust/tests.rs
@@ -0,0 +1,23 @@
+//! Tests of members that know each other's certificates by the log.
+
+use std::time::Duration;
+
+use crate::peer::tests::support::{Node, PATIENCE, echo, request};
+use crate::peer::{PeerSettings, RequestOutcome};
+
+/// A member is evicted, or a stranger has come by the address of one. Whoever is not named in
+/// the log must get no connection, in either direction.
+#[test]
+fn only_certificates_that_the_log_names_are_accepted() {
+    let (one, other) = (Node::echo(PeerSettings::default()), Node::echo(PeerSettings::default()));
+    let to = other.transport.local_addr();
+    let ask = || one.transport.blocking_request(to, request("a"), Duration::from_secs(2));
+    assert_eq!(ask(), RequestOutcome::NotDelivered, "neither knows the other");
+    one.transport.trust([other.transport.fingerprint()].into_iter());
+    assert_eq!(ask(), RequestOutcome::NotDelivered, "the other does not know this one");
+    other.transport.trust([one.transport.fingerprint()].into_iter());
+    let outcome = one.transport.blocking_request(to, request("a"), PATIENCE);
+    assert_eq!(outcome, RequestOutcome::Answer(echo(request("a"))));
+    assert_eq!(other.runs(), 1);
+    assert_ne!(one.transport.fingerprint(), other.transport.fingerprint());
+}
--- a/acaciaringd/src/router/shares.rs
+++ b/acaciaringd/src/router/shares.rs
@@ -43,3 +43,6 @@
 
 /// Routes that are remembered; beyond it all begin anew.
 const MOST: usize = 4096;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/acaciaringd/src/router/shares/tests.rs
@@ -0,0 +1,41 @@
+//! Tests of routes that are shared out.
+
+use std::collections::BTreeMap;
+
+use acaciaring_core::route::{Division, Weights};
+
+use super::*;
+
+fn route(workspace: &str, parts: Vec<(u32, Arc<Route>)>) -> Arc<Route> {
+    Arc::new(Route {
+        workspace: workspace.into(),
+        tenant: "".into(),
+        host: None,
+        prefix: "/a/".into(),
+        division: Division::Pooled,
+        classes: Vec::new(),
+        weights: Weights { churn: 1, downtime: 1 },
+        body: 1,
+        parts,
+    })
+}
+
+#[test]
+fn each_short_span_of_requests_is_shared_out_by_weight() {
+    let parts = vec![(90, route("books", Vec::new())), (10, route("lab", Vec::new()))];
+    let whole = route("books", parts);
+    let shares = Shares::default();
+    for _ in 0..5 {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for _ in 0..20 {
+            *counts.entry(shares.pick(Arc::clone(&whole)).workspace.to_string()).or_default() += 1;
+        }
+        assert_eq!(counts, BTreeMap::from([("books".into(), 18), ("lab".into(), 2)]));
+    }
+}
+
+#[test]
+fn a_route_without_parts_is_itself() {
+    let whole = route("books", Vec::new());
+    assert_eq!(Shares::default().pick(Arc::clone(&whole)), whole);
+}
