--- a/acaciaring_core/src/state/units.rs
+++ b/acaciaring_core/src/state/units.rs
@@ -276,7 +276,9 @@
 
 /// Returns true when a slot can take back a hot key without a change of rights.
 fn alike(slot: &Assignment, hot: &Assignment) -> bool {
-    let fits = |one: Option<MemberId>, other| one.is_none() || other.is_none() || one == other;
+    let fits = |one: Option<MemberId>, other: Option<MemberId>| {
+        one.is_none() || other.is_none() || one == other
+    };
     let former = fits(slot.prior, hot.prior) && fits(slot.rival, hot.rival);
     slot.owner == hot.owner && slot.standby == hot.standby && former
 }
