Begin the wait of an eviction with its own ground; pass versions on with each request

When the member's process started anew much later, the eviction 'by a later process on its address', which has to wait two terms, came at once, 20 ms after the Join, and the standby's upstream was given what the former one still held (739 and 1,116 ms). The wait is now a struct of its own with a test of the order of events.

--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -39,6 +39,8 @@
     Heartbeat(Heartbeat, oneshot::Sender<HeartbeatReply>),
     /// The upstream is leaving and reports no more; it is told once nothing new is given to it.
     UpstreamLeaves(Name, oneshot::Sender<()>),
+    /// A member has said in passing that it has this version of the declared configuration.
+    Version(SocketAddr, u64),
     /// A newer configuration is declared.
     Declared(Arc<Declared>),
     /// The process was told to stop.
--- a/acaciaringd/src/control/eviction.rs
+++ b/acaciaringd/src/control/eviction.rs
@@ -1,6 +1,6 @@
 //! Evictions of members whose lease is over for good.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use acaciaring_core::lease::Proof;
@@ -14,6 +14,51 @@
 use super::identity::Identity;
 use super::proposal::Purpose;
 
+/// Why a member may be evicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Ground {
+    /// Votes prove that its lease is over for good.
+    Proof,
+    /// A later process has its VM and address.
+    Successor,
+    /// It has no lessors, so it never had a lease.
+    Bare,
+}
+
+/// Grounds for evictions, and since when each has lasted without a break.
+#[derive(Debug, Default)]
+pub(super) struct Grounds(HashMap<MemberId, (Ground, Time)>);
+
+impl Grounds {
+    /// Notes the present ground of a member and returns since when it has lasted.
+    ///
+    /// Guards against a wait that was over before it began: a member without lessors at the start
+    /// of the day gets some, and hours later its process starts anew beside a living upstream.
+    /// Counted from the first ground, the eviction for the second came at once, and another
+    /// upstream was given what this one still held.
+    fn since(&mut self, now: Time, member: MemberId, ground: Option<Ground>) -> Time {
+        let Some(ground) = ground else {
+            self.0.remove(&member);
+            return now;
+        };
+        let known = self.0.entry(member).or_insert((ground, now));
+        if known.0 != ground {
+            *known = (ground, now);
+        }
+        known.1
+    }
+
+    /// Forgets a member.
+    pub(super) fn forget(&mut self, member: MemberId) {
+        self.0.remove(&member);
+    }
+
+    /// Forgets all members.
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
 /// Delay of an eviction per rank, so that the members with a proof do not all append it.
 const STAGGER: Duration = Duration::from_millis(100);
 
@@ -26,9 +71,11 @@
             if member.phase == Phase::Dead || member.id == identity.me {
                 continue;
             }
-            let Some((evict, wait)) = self.ground(now, identity, member) else { continue };
-            let since = *self.proofs.entry(member.id).or_insert(now);
-            if now.since(since) >= wait + STAGGER * self.rank(member) {
+            let found = self.ground(now, identity, member);
+            let since = self.grounds.since(now, member.id, found.as_ref().map(|found| found.0));
+            let Some((ground, evict)) = found else { continue };
+            let wait = self.wait(ground) + STAGGER * self.rank(member);
+            if now.since(since) >= wait {
                 proposals.push(evict);
             }
         }
@@ -40,18 +87,27 @@
         }
     }
 
-    /// Returns an eviction of a member, if there is ground for one, and how long it has to wait.
-    fn ground(&self, now: Time, identity: &Identity, member: &Member) -> Option<(Evict, Duration)> {
+    /// Returns an eviction of a member, if there is ground for one.
+    fn ground(&self, now: Time, identity: &Identity, member: &Member) -> Option<(Ground, Evict)> {
         if let Some(proof) = identity.tally.proof(now, member) {
-            return Some((eviction(member, &proof), Duration::ZERO));
+            return Some((Ground::Proof, eviction(member, &proof)));
         }
         if let Some(successor) = self.successor(member) {
-            // Its last renewal was granted before the successor took its address.
             let evict = Evict { successor: successor.0, ..eviction(member, &no_proof(member)) };
-            return Some((evict, self.parts.lease.term * 2));
+            return Some((Ground::Successor, evict));
         }
         let bare = member.lessors.is_empty();
-        bare.then(|| (eviction(member, &no_proof(member)), self.parts.lease.abandon))
+        bare.then(|| (Ground::Bare, eviction(member, &no_proof(member))))
+    }
+
+    /// Returns for how long a ground has to last before a member is evicted for it.
+    fn wait(&self, ground: Ground) -> Duration {
+        match ground {
+            Ground::Proof => Duration::ZERO,
+            // Its last renewal was granted before the successor took its address.
+            Ground::Successor => self.parts.lease.term * 2,
+            Ground::Bare => self.parts.lease.abandon,
+        }
     }
 
     /// Returns a later member on the same VM and address.
@@ -95,3 +151,6 @@
         successor: 0,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -149,7 +149,7 @@
                 if !member.lessors.is_empty() {
                     identity.tally.died(now, member.id);
                 }
-                self.proofs.remove(&member.id);
+                self.grounds.forget(member.id);
                 continue;
             }
             if member.id == me {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -36,6 +36,7 @@
 
 use self::balance::Balance;
 pub(crate) use self::event::{Event, PublishReply};
+use self::eviction::Grounds;
 use self::fold::Progress;
 use self::handover::Handover;
 use self::holding::Holding;
@@ -138,8 +139,8 @@
     roles: Roles,
     replication: Replication,
     handover: Handover,
-    /// When the proof that a member's lease is over was first seen.
-    proofs: HashMap<MemberId, Time>,
+    /// Grounds for evictions of other members.
+    grounds: Grounds,
     /// When a workspace was first seen with slots that have no owner.
     vacant: HashMap<Name, Time>,
     balance: Balance,
@@ -188,7 +189,7 @@
             roles: Roles::default(),
             replication: Replication::default(),
             handover: Handover::default(),
-            proofs: HashMap::new(),
+            grounds: Grounds::default(),
             vacant: HashMap::new(),
             balance: Balance::default(),
             state: Arc::default(),
@@ -252,6 +253,7 @@
                 // The sender may have gone away.
                 let _ = reply.send(());
             }
+            Event::Version(from, version) => self.follow(now, from, version),
             Event::Declared(declared) => {
                 self.declared = Some(declared);
                 self.dirty = true;
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -220,7 +220,7 @@
         self.proposals.clear();
         self.replication = Replication::default();
         self.handover = Handover::default();
-        self.proofs.clear();
+        self.grounds.clear();
         self.closed = false;
         self.forget_roles();
         self.parts.shared.lease.set(Time::ZERO);
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -138,6 +138,7 @@
             metrics: metrics.clone(),
             lingerers: Lingerers::new(settings.entry.workers as usize / LINGERERS),
             shares: Shares::default(),
+            declarations: Arc::clone(&declarations),
         };
         let admin = MemberAdmin {
             events: events.clone(),
--- a/acaciaringd/src/declared.rs
+++ b/acaciaringd/src/declared.rs
@@ -4,6 +4,7 @@
 //! ahead, so that one which cannot read it follows all the same.
 
 use std::error::Error;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,6 +110,14 @@
         let _ = self.events.send(Event::Declared(declared));
     }
 
+    /// Notes the version that a member has in force; a newer one is fetched from it.
+    pub(crate) fn heard(&self, from: SocketAddr, version: u64) {
+        if version > self.version() {
+            // Control has ended only when the process is about to exit.
+            let _ = self.events.send(Event::Version(from, version));
+        }
+    }
+
     /// Returns the version in force, 0 when there is none.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/acaciaringd/src/handler.rs
+++ b/acaciaringd/src/handler.rs
@@ -47,7 +47,8 @@
 
 impl PeerHandler {
     async fn run(&self, request: Request, cancelled: &CancelFlag) -> Answer {
-        self.gate.run(&request, cancelled).await
+        let answer = self.gate.run(&request, cancelled).await;
+        Answer { declared: self.declarations.version(), ..answer }
     }
 
     async fn serve(&self, call: call::Body) -> reply::Body {
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use self::shares::Shares;
 pub(crate) use self::suspects::Suspects;
 use crate::clock;
+use crate::declared::Declarations;
 use crate::entry::{EntryAnswer, EntryRequest};
 use crate::gate::Gate;
 use crate::metrics::{Counter, Metrics, Timer};
@@ -52,6 +53,7 @@
     pub(crate) lingerers: Lingerers,
     /// Shares of routes that are shared out.
     pub(crate) shares: Shares,
+    pub(crate) declarations: Arc<Declarations>,
 }
 
 /// What is known of a caller's request before it is sent on.
@@ -168,6 +170,7 @@
             left: wire::millis(left),
             target: target.0,
             applied: view.state.next(),
+            declared: self.declarations.version(),
             ..plan.request.clone()
         };
         let outcome = if view.me == Some(target) {
@@ -187,6 +190,9 @@
     async fn hop(&self, address: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
         let start = clock::now();
         let outcome = self.transport.request(address, request, left).await;
+        if let RequestOutcome::Answer(answer) = &outcome {
+            self.declarations.heard(address, answer.declared);
+        }
         self.metrics.time(Timer::Peer, clock::now().since(start));
         outcome
     }
