--- a/acaciaring_core/examples/policy.rs
+++ b/acaciaring_core/examples/policy.rs
@@ -278,7 +278,8 @@
     let start = Instant::now();
     for attempt in 0..u64::from(COUNT) {
         let now = Time::from_millis(attempt / 50);
-        let ticket = Ticket { rank: Rank::Interactive, deadline: now + MINUTE, attempt };
+        let ticket =
+            Ticket { rank: Rank::Interactive, deadline: now + MINUTE, last: now + MINUTE, attempt };
         if let acaciaring_core::admission::Offer::Start(item) = gate.offer(now, ticket, attempt) {
             started.push_back(item);
         }
--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -34,6 +34,8 @@
     pub rank: Rank,
     /// Time by which the whole answer is wanted.
     pub deadline: Time,
+    /// Time up to which a late answer is of use; the deadline where none is.
+    pub last: Time,
     /// One try of the request, unique among those that wait or run here.
     pub attempt: u64,
 }
@@ -84,6 +86,12 @@
     ramp: (u32, Time),
     running: HashMap<u64, Rank>,
     waiting: Waiting<T>,
+    /// Requests that have missed their deadline, or would, and are of use later.
+    ///
+    /// Guards against a queue in which each request waits until its answer is late: under a load
+    /// above its capacity an upstream would answer everybody late. Those that can be in time
+    /// go first, the late ones take what is left.
+    late: Waiting<T>,
     times: ServiceTimes,
     /// Slot time, in seconds, that each rank is owed for having been passed over.
     credit: [f64; RANKS],
@@ -100,6 +108,7 @@
             mode: Mode::Open,
             running: HashMap::new(),
             waiting: Waiting::new(),
+            late: Waiting::new(),
             times,
             credit: [0.0; RANKS],
         }
@@ -108,7 +117,7 @@
     /// Returns the count of requests that run or wait.
     #[must_use]
     pub fn busy(&self) -> usize {
-        self.running.len() + self.waiting.len()
+        self.running.len() + self.waiting()
     }
 
     /// Returns the count of requests that run.
@@ -120,7 +129,7 @@
     /// Returns the count of requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.late.len()
     }
 
     /// Returns the smoothed time that a request of `rank` takes at the upstream.
@@ -171,7 +180,7 @@
         }
         let wait = self.predicted_wait(now, ticket);
         if now + wait + self.times.cautious(ticket.rank, self.settings.caution) > ticket.deadline {
-            return Offer::Refused(item, self.refusal(now, Reason::Busy, ticket.attempt));
+            return self.offer_late(now, ticket, item);
         }
         if self.waiting.len() < self.settings.queue {
             self.waiting.push(ticket, item);
@@ -213,14 +222,76 @@
             }
             ahead += own;
         }
-        self.refuse(now, &late, Reason::Expired)
+        let mut refused = self.postpone(now, &late);
+        let hopeless = self.hopeless(now);
+        refused.extend(self.refuse(now, &hopeless, Reason::Expired));
+        refused
+    }
+
+    /// Returns the late requests that cannot be served any more behind all that is in time.
+    fn hopeless(&self, now: Time) -> Vec<u64> {
+        let mut hopeless = Vec::new();
+        let slots = f64::from(self.capacity(now));
+        let in_time: f64 = ORDER.into_iter().map(|rank| self.waiting.work(rank, &self.times)).sum();
+        let mut ahead = self.residual(now) + in_time;
+        for rank in ORDER {
+            let needed = self.times.cautious(rank, 0.0);
+            for ticket in self.late.tickets(rank) {
+                let wait = Duration::from_secs_f64(ahead / slots);
+                if now + wait + needed > ticket.last {
+                    hopeless.push(ticket.attempt);
+                } else {
+                    ahead += self.times.mean(rank);
+                }
+            }
+        }
+        hopeless
+    }
+
+    /// Queues a request behind all that can be in time.
+    ///
+    /// It waits for half of the time in which it is of use at most. Guards against a request that
+    /// is passed by new ones for as long as the load lasts: its caller would wait to the end for
+    /// nothing, and could have come back meanwhile.
+    fn push_late(&mut self, now: Time, ticket: Ticket, item: T) {
+        let last = now + ticket.last.since(now) / 2;
+        self.late.push(Ticket { deadline: last, last, ..ticket }, item);
+    }
+
+    /// Queues a request that would miss its deadline but be of use later, or refuses it.
+    fn offer_late(&mut self, now: Time, ticket: Ticket, item: T) -> Offer<T> {
+        let wait = self.wait_behind_all(now);
+        let done = now + wait + self.times.cautious(ticket.rank, self.settings.caution);
+        if ticket.last <= ticket.deadline
+            || done > ticket.last
+            || self.late.len() >= self.settings.queue
+        {
+            return Offer::Refused(item, self.refusal(now, Reason::Busy, ticket.attempt));
+        }
+        self.push_late(now, ticket, item);
+        Offer::Queued { displaced: None }
+    }
+
+    /// Puts waiting requests that would be late behind all that would not; returns those refused.
+    fn postpone(&mut self, now: Time, attempts: &[u64]) -> Vec<(T, Refusal)> {
+        let mut refused = Vec::new();
+        for attempt in attempts {
+            let Some((ticket, item)) = self.waiting.remove(*attempt) else { continue };
+            let of_use = now + self.times.cautious(ticket.rank, 0.0) <= ticket.last;
+            if ticket.last > ticket.deadline && of_use && self.late.len() < self.settings.queue {
+                self.push_late(now, ticket, item);
+            } else {
+                refused.push((item, self.refusal(now, Reason::Expired, *attempt)));
+            }
+        }
+        refused
     }
 
     /// Takes back a waiting request whose caller has gone; `None` when it does not wait here.
     ///
     /// A request that runs keeps its slot until [`Admission::finish`].
     pub fn cancel(&mut self, _now: Time, attempt: u64) -> Option<T> {
-        self.waiting.remove(attempt).map(|(_, item)| item)
+        self.take(attempt).map(|(_, item)| item)
     }
 
     /// Notes that the upstream asks to be left alone for `retry`; returns what waits, refused.
@@ -238,14 +309,14 @@
         let half = u32::try_from(self.running.len() / 2).unwrap_or(u32::MAX);
         self.mode = Mode::Shedding(until);
         self.ramp = (half.max(self.settings.initial).min(self.settings.slots), until);
-        let all = self.waiting.attempts();
+        let all = self.attempts();
         self.refuse(now, &all, Reason::Busy)
     }
 
     /// Notes that the upstream is leaving; returns what waits, refused.
     pub fn drain(&mut self, now: Time) -> Vec<(T, Refusal)> {
         self.mode = Mode::Draining;
-        let all = self.waiting.attempts();
+        let all = self.attempts();
         self.refuse(now, &all, Reason::Draining)
     }
 
@@ -279,7 +350,7 @@
         if ticket.deadline <= now {
             return Some(Refusal::not_run(Reason::Expired));
         }
-        if self.running.contains_key(&ticket.attempt) || self.waiting.contains(ticket.attempt) {
+        if self.running.contains_key(&ticket.attempt) || self.is_waiting(ticket.attempt) {
             return Some(Refusal::not_run(Reason::Superseded));
         }
         match self.mode {
@@ -297,6 +368,21 @@
         self.room(now) && self.next(now).is_none()
     }
 
+    /// Takes a request out of either queue.
+    fn take(&mut self, attempt: u64) -> Option<(Ticket, T)> {
+        self.waiting.remove(attempt).or_else(|| self.late.remove(attempt))
+    }
+
+    fn is_waiting(&self, attempt: u64) -> bool {
+        self.waiting.contains(attempt) || self.late.contains(attempt)
+    }
+
+    fn attempts(&self) -> Vec<u64> {
+        let mut all = self.waiting.attempts();
+        all.extend(self.late.attempts());
+        all
+    }
+
     fn room(&self, now: Time) -> bool {
         u32::try_from(self.running.len()).is_ok_and(|count| count < self.capacity(now))
     }
@@ -304,8 +390,8 @@
     fn start_waiting(&mut self, now: Time) -> Vec<T> {
         let mut started = Vec::new();
         while self.mode == Mode::Open && self.room(now) {
-            let Some(attempt) = self.next(now) else { break };
-            let Some((ticket, item)) = self.waiting.remove(attempt) else { break };
+            let Some(attempt) = self.next(now).or_else(|| self.late.first()) else { break };
+            let Some((ticket, item)) = self.take(attempt) else { break };
             self.note_start(ticket);
             started.push(item);
         }
@@ -334,7 +420,7 @@
         let mut refused = Vec::with_capacity(attempts.len());
         for attempt in attempts {
             let refusal = self.refusal(now, reason, *attempt);
-            refused.extend(self.waiting.remove(*attempt).map(|(_, item)| (item, refusal)));
+            refused.extend(self.take(*attempt).map(|(_, item)| (item, refusal)));
         }
         refused
     }
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::queue::Waiting;
 use super::{Admission, Mode, ORDER, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
@@ -21,6 +22,15 @@
         self.bounded_wait(ticket.rank, ahead, own, f64::from(self.capacity(now)))
     }
 
+    /// Returns the time until all that waits now has started.
+    pub(super) fn wait_behind_all(&self, now: Time) -> Duration {
+        let work = |queue: &Waiting<T>| -> f64 {
+            ORDER.into_iter().map(|rank| queue.work(rank, &self.times)).sum()
+        };
+        let all = self.residual(now) + work(&self.waiting) + work(&self.late);
+        Duration::from_secs_f64(all / f64::from(self.capacity(now)))
+    }
+
     /// Returns the wait behind `ahead` of other ranks and `own` of the same, in seconds of slot time.
     pub(super) fn bounded_wait(&self, rank: Rank, ahead: f64, own: f64, slots: f64) -> Duration {
         let behind_all = (ahead + own) / slots;
--- a/acaciaring_core/src/admission/queue.rs
+++ b/acaciaring_core/src/admission/queue.rs
@@ -58,6 +58,12 @@
         self.ranks[rank as usize].values().map(|(ticket, _)| ticket)
     }
 
+    /// Returns the attempt with the earliest deadline of the most important rank.
+    pub(super) fn first(&self) -> Option<u64> {
+        let mut heads = self.ranks.iter().filter_map(BTreeMap::first_key_value);
+        heads.next().map(|(_, (ticket, _))| ticket.attempt)
+    }
+
     /// Returns the attempt of a rank with the latest deadline.
     pub(super) fn last(&self, rank: Rank) -> Option<u64> {
         self.ranks[rank as usize].last_key_value().map(|(_, (ticket, _))| ticket.attempt)
--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -106,6 +106,8 @@
     latest: Time,
     /// True while the last reply contained it.
     present: bool,
+    /// True when the upstream has refused a request for it, and no report has said since that it is held.
+    denied: bool,
 }
 
 /// Instance that may have taken the place of the present one.
@@ -134,6 +136,8 @@
     freed: Vec<Freed>,
     /// Time from which nothing is held that is not given anew.
     until: Time,
+    /// Time from which the upstream may have let go what it was given last.
+    lapse: Time,
 }
 
 impl Holds {
@@ -154,6 +158,7 @@
             given: BTreeMap::new(),
             freed: Vec::new(),
             until: now + hold.mul_f64(1.0 + DRIFT),
+            lapse: now,
         }
     }
 
@@ -271,6 +276,8 @@
             self.give(now, unit);
         }
         self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
+        // The upstream counts from the sending of its report, a moment before it was heard.
+        self.lapse = self.heard + hold.saturating_sub(EFFECT);
         Some((rows(&units), hold))
     }
 
@@ -283,6 +290,7 @@
             effect,
             latest: now,
             present: true,
+            denied: false,
         });
         if given.token != wanted.token || given.keys != wanted.keys {
             given.effect = effect;
@@ -291,19 +299,34 @@
         given.keys.clone_from(&wanted.keys);
         given.latest = now;
         given.present = true;
+        given.denied &= !held;
     }
 
     /// Returns true while the upstream runs requests for a unit under a token.
     #[must_use]
     pub fn serves(&self, now: Time, unit: UnitId, token: Token) -> bool {
-        let given = self.given.get(&unit);
-        given.is_some_and(|given| given.present && given.token == token && now >= given.effect)
+        let acts = |given: &Given| {
+            given.present && !given.denied && given.token == token && now >= given.effect
+        };
+        now < self.lapse && self.given.get(&unit).is_some_and(acts)
     }
 
-    /// Returns when the next grant takes effect, none when all have.
+    /// Returns when the next grant takes effect or all lapse, none when neither is to come.
     #[must_use]
     pub fn next_effect(&self, now: Time) -> Option<Time> {
-        self.given.values().map(|given| given.effect).filter(|effect| now < *effect).min()
+        let effects = self.given.values().map(|given| given.effect);
+        effects.chain([self.lapse]).filter(|time| now < *time).min()
+    }
+
+    /// Notes that the upstream has refused a request for a unit that it should hold.
+    ///
+    /// Guards against a grant that it has not taken: each request for the unit would be sent and
+    /// refused again, as often as there is time for. The unit is served again once a report
+    /// says that it is held.
+    pub fn deny(&mut self, unit: UnitId) {
+        if let Some(given) = self.given.get_mut(&unit) {
+            given.denied = true;
+        }
     }
 
     /// Returns true while the upstream may hold keys of a unit, by grants of this process or a former one.
--- a/acaciaring_core/src/retry.rs
+++ b/acaciaring_core/src/retry.rs
@@ -56,6 +56,8 @@
     pub redirects: u32,
     /// True when a member that was not tried yet may take the request.
     pub elsewhere: bool,
+    /// Tries that the class allows; 0 leaves it to the settings.
+    pub most: u32,
 }
 
 /// What to do after a failed try.
@@ -88,6 +90,18 @@
         Self { tokens: settings.burst, settings, filled: now }
     }
 
+    /// Bounds what is saved up and what is earned without first tries, never above the settings.
+    ///
+    /// Guards against many processes that each spend a full budget on one upstream that is in
+    /// trouble: `burst` retries in each `window` are this process's part of a bound for all. A
+    /// full bucket and what it earns in one window are half of that part each.
+    pub fn bound(&mut self, burst: f64, window: Duration, usual: &RetrySettings) {
+        let half = burst / 2.0;
+        self.settings.burst = usual.burst.min(half.max(1.0));
+        self.settings.least = usual.least.min(half / window.as_secs_f64());
+        self.tokens = self.tokens.min(self.settings.burst);
+    }
+
     /// Notes a first try, which earns its share of a retry.
     pub fn first_try(&mut self, now: Time) {
         self.refill(now);
@@ -105,13 +119,18 @@
         }
         let after = self.pause(rng, failure);
         let late = after >= failure.left;
-        if late || failure.tries >= self.settings.tries || self.tokens < 1.0 {
+        if late || failure.tries >= self.most(failure) || self.tokens < 1.0 {
             return RetryDecision::GiveUp;
         }
         self.tokens -= 1.0;
         RetryDecision::Retry { after }
     }
 
+    /// Returns how many tries a request has in all.
+    fn most(&self, failure: &Failure) -> u32 {
+        if failure.most > 0 { failure.most.min(self.settings.tries) } else { self.settings.tries }
+    }
+
     /// A redirect is bounded in number and costs the refusing member next to nothing, so it is free.
     fn is_free_redirect(&self, failure: &Failure) -> bool {
         failure.refusal.reason == Reason::NotOwner && failure.redirects <= self.settings.redirects
--- a/acaciaring_core/src/route/build.rs
+++ b/acaciaring_core/src/route/build.rs
@@ -153,6 +153,7 @@
         rank: rank?,
         repeat: repeat?,
         deadline: deadline?,
+        target: None,
         tries: 0,
         single: false,
     })
--- a/acaciaring_core/src/route/mod.rs
+++ b/acaciaring_core/src/route/mod.rs
@@ -85,6 +85,8 @@
     pub repeat: Repeat,
     /// Time for the whole answer when the caller names none.
     pub deadline: Duration,
+    /// Time within which an answer is in time; a later one is of less use. The deadline when absent.
+    pub target: Option<Duration>,
     /// Upstreams to which one request may be sent at most; 0 leaves it to the settings.
     pub tries: u32,
     /// True when a request's identity is never used again, so that nobody need remember it.
--- a/acaciaring_core/tests/admission.rs
+++ b/acaciaring_core/tests/admission.rs
@@ -3,6 +3,7 @@
 #[path = "support/upstream.rs"]
 mod upstream;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use acaciaring_core::admission::{Admission, AdmissionSettings, Ending, Offer, Ticket};
@@ -105,7 +106,7 @@
 fn a_slow_upstream_is_felt_and_its_recovery_too() {
     let mut gate = Admission::new(AdmissionSettings::default());
     let offer = |gate: &mut Admission<u64>, now: Time, attempt: u64| {
-        let ticket = Ticket { rank: Rank::Interactive, deadline: now + ms(300), attempt };
+        let ticket = ticket(Rank::Interactive, now + ms(300), attempt);
         gate.offer(now, ticket, attempt)
     };
     let mut attempt = 0;
@@ -147,7 +148,7 @@
     let settings = AdmissionSettings { slots: 1, queue: 3, ..AdmissionSettings::default() };
     let mut gate = Admission::new(settings);
     let now = Time::ZERO;
-    let ticket = |rank, attempt| Ticket { rank, deadline: now + ms(10_000 + attempt), attempt };
+    let ticket = |rank, attempt| ticket(rank, now + ms(10_000 + attempt), attempt);
     assert_eq!(gate.offer(now, ticket(Rank::Background, 1), 1), Offer::Start(1));
     for attempt in 2..=4 {
         let offer = gate.offer(now, ticket(Rank::Background, attempt), attempt);
@@ -173,7 +174,7 @@
     let mut now = Time::ZERO;
     let mut running = 0;
     let offer = |gate: &mut Admission<u64>, now: Time, rank, attempt| {
-        gate.offer(now, Ticket { rank, deadline, attempt }, attempt)
+        gate.offer(now, ticket(rank, deadline, attempt), attempt)
     };
     assert_eq!(offer(&mut gate, now, Rank::Interactive, 0), Offer::Start(0));
     for round in 1..200 {
@@ -199,7 +200,7 @@
 fn a_request_that_must_be_late_is_refused_before_its_deadline() {
     let settings = AdmissionSettings { slots: 1, service: ms(100), ..AdmissionSettings::default() };
     let mut gate = Admission::new(settings);
-    let ticket = |deadline, attempt| Ticket { rank: Rank::Interactive, deadline, attempt };
+    let ticket = |deadline, attempt| ticket(Rank::Interactive, deadline, attempt);
     gate.offer(Time::ZERO, ticket(Time::from_millis(5_000), 1), 1);
     gate.offer(Time::ZERO, ticket(Time::from_millis(400), 2), 2);
     assert!(gate.expire(Time::from_millis(150)).is_empty());
@@ -226,7 +227,7 @@
 fn an_upstream_that_sheds_is_left_alone() {
     let mut gate = Admission::new(AdmissionSettings::default());
     let now = Time::ZERO;
-    let ticket = |attempt| Ticket { rank: Rank::Bulk, deadline: now + ms(60_000), attempt };
+    let ticket = |attempt| ticket(Rank::Bulk, now + ms(60_000), attempt);
     for attempt in 0..25 {
         gate.offer(now, ticket(attempt), attempt);
     }
@@ -247,3 +248,48 @@
     run.play();
     assert_eq!(run.most, 20);
 }
+
+/// Returns the ticket of a request that is of no use after its deadline.
+fn ticket(rank: Rank, deadline: Time, attempt: u64) -> Ticket {
+    Ticket { rank, deadline, last: deadline, attempt }
+}
+
+// A server runs at half of what callers ask for, for seconds. Each request waits in turn until its
+// answer is late, so that nobody is served in time although half of them could be. Those that
+// can be in time go first; the late ones are served once there is room, or refused when it is
+// too late for them too.
+#[test]
+fn under_overload_those_in_time_go_before_those_that_are_late() {
+    let settings = AdmissionSettings { slots: 1, service: ms(100), ..AdmissionSettings::default() };
+    let mut gate = Admission::new(settings);
+    let mut now = Time::from_millis(1000);
+    let (mut running, mut ends) = (None, now);
+    let (mut in_time, mut started) = (0, 0);
+    let mut arrived: HashMap<u64, Time> = HashMap::new();
+    for attempt in 0..400 {
+        let arrival = now;
+        while running.is_some() && ends <= arrival {
+            let next =
+                gate.finish(ends, running.take().expect("running"), ms(100), Ending::Answered);
+            gate.expire(ends);
+            if let Some(id) = next.first().copied() {
+                started += 1;
+                in_time += u32::from(ends + ms(100) <= arrived[&id] + ms(300));
+                running = Some(id);
+                ends = ends + ms(100);
+            }
+        }
+        arrived.insert(attempt, now);
+        let (deadline, last) = (now + ms(300), now + ms(1200));
+        let ticket = Ticket { rank: Rank::Bulk, deadline, last, attempt };
+        if let Offer::Start(id) = gate.offer(now, ticket, attempt) {
+            started += 1;
+            in_time += 1;
+            running = Some(id);
+            ends = now + ms(100);
+        }
+        now = now + ms(50);
+    }
+    assert!(started >= 190, "{started} of 200 that fit");
+    assert!(in_time * 10 >= started * 8, "{in_time} of {started} in time");
+}
--- a/acaciaring_core/tests/admission_property.rs
+++ b/acaciaring_core/tests/admission_property.rs
@@ -86,7 +86,7 @@
                 Step::Offer { rank, left } => {
                     attempt += 1;
                     let deadline = now + Duration::from_millis(left);
-                    let ticket = Ticket { rank: RANKS[rank], deadline, attempt };
+                    let ticket = Ticket { rank: RANKS[rank], deadline, last: deadline, attempt };
                     ledger.0.insert(attempt, Fate::Waiting);
                     match gate.offer(now, ticket, attempt) {
                         Offer::Start(item) => started.push(item),
--- a/acaciaring_core/tests/retry.rs
+++ b/acaciaring_core/tests/retry.rs
@@ -16,6 +16,7 @@
         tries: 1,
         redirects: 0,
         elsewhere: false,
+        most: 0,
     }
 }
 
--- a/acaciaring_core/tests/support/upstream.rs
+++ b/acaciaring_core/tests/support/upstream.rs
@@ -195,7 +195,7 @@
         let stream = self.streams[request.stream];
         self.tallies[request.stream].tries += 1;
         let deadline = request.arrived + stream.deadline;
-        let ticket = Ticket { rank: stream.rank, deadline, attempt };
+        let ticket = Ticket { rank: stream.rank, deadline, last: deadline, attempt };
         match self.gate.offer(now, ticket) {
             Offer::Start(attempt) => self.start(now, attempt),
             Offer::Queued { displaced } => {
@@ -260,6 +260,7 @@
             tries: request.tries,
             redirects: 0,
             elsewhere: false,
+            most: 0,
         };
         let decision = match self.retries {
             Retries::Never => RetryDecision::GiveUp,
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -37,6 +37,8 @@
     Publish(RecordId, Publish, Sender<PublishReply>),
     /// The upstream reports what it holds.
     Heartbeat(Heartbeat, oneshot::Sender<HeartbeatReply>),
+    /// The upstream has refused a request for a unit that it was given.
+    Misplaced(Name, UnitId),
     /// The upstream is leaving and reports no more; it is told once nothing new is given to it.
     UpstreamLeaves(Name, oneshot::Sender<()>),
     /// A member has said in passing that it has this version of the declared configuration.
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -247,6 +247,11 @@
             Event::Announced(announcement) => self.announce(now, announcement),
             Event::Publish(id, publish, reply) => self.publish(now, id, publish, &reply),
             Event::Heartbeat(heartbeat, reply) => self.heartbeat(now, heartbeat, reply),
+            Event::Misplaced(workspace, unit) => {
+                info!(%workspace, %unit, "the upstream does not hold what it was given");
+                self.holding.holds.deny(unit);
+                self.dirty = true;
+            }
             Event::UpstreamLeaves(instance, reply) => {
                 self.on_upstream_leaves(now, &instance);
                 self.refresh(now);
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -112,11 +112,11 @@
         let gate = Arc::new(Gate::new(
             Arc::clone(&shared),
             edges.outlet(),
-            options::admission_settings(settings),
-            options::heat_settings(settings),
+            options::gate_settings(settings),
             transport.clone(),
             outbox.clone(),
             metrics.clone(),
+            events.clone(),
         ));
         late.set(PeerHandler {
             events: events.clone(),
@@ -132,7 +132,10 @@
             gate: Arc::clone(&gate),
             transport: transport.clone(),
             choice: Mutex::new(Choice::new(ChoiceSettings::default())),
-            budgets: Budgets::new(options::retry_settings(settings)),
+            budgets: Budgets::new(
+                options::retry_settings(settings),
+                options::common_budget(settings),
+            ),
             suspects: Suspects::default(),
             outages: Outages::default(),
             metrics: metrics.clone(),
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -12,8 +12,10 @@
 
 use crate::control::Place;
 use crate::entry::EntrySettings;
+use crate::gate::GateSettings;
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
+use crate::router::CommonBudget;
 
 /// Room for headers and the like in a message between members, in bytes.
 const ENVELOPE: u64 = 256 << 10;
@@ -56,8 +58,13 @@
     }
 }
 
+/// Returns the limits of the gate.
+pub(super) fn gate_settings(settings: &Settings) -> GateSettings {
+    GateSettings { admission: admission_settings(settings), warmth: heat_settings(settings) }
+}
+
 /// Returns the settings of admission beside the upstream.
-pub(super) fn admission_settings(settings: &Settings) -> AdmissionSettings {
+fn admission_settings(settings: &Settings) -> AdmissionSettings {
     AdmissionSettings {
         slots: settings.limits.slots,
         queue: settings.limits.queue as usize,
@@ -70,8 +77,14 @@
     RetrySettings { share: settings.limits.retry_ratio, ..RetrySettings::default() }
 }
 
+/// Returns the retries that all members together may make.
+pub(super) fn common_budget(settings: &Settings) -> CommonBudget {
+    let limits = &settings.limits;
+    CommonBudget { burst: limits.retry_burst.into(), window: limits.retry_window }
+}
+
 /// Returns how heat is measured.
-pub(super) fn heat_settings(settings: &Settings) -> HeatSettings {
+fn heat_settings(settings: &Settings) -> HeatSettings {
     HeatSettings { half_life: settings.balance.heat, ..HeatSettings::default() }
 }
 
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acaciaring_core::admission::Ticket;
 use acaciaring_core::{Reason, Refusal, Time};
 use acaciaring_schema::peer::Answer;
 
@@ -27,7 +28,8 @@
         grant: Option<Grant>,
     ) -> Result<Answer, Refusal> {
         let attempt = job.request.attempt;
-        let place = self.queue.enter(job.rank, job.deadline, attempt, job.cancelled).await?;
+        let ticket = Ticket { rank: job.rank, deadline: job.aim, last: job.deadline, attempt };
+        let place = self.queue.enter(ticket, job.cancelled).await?;
         let view = self.shared.view();
         let link = view.link.as_ref().ok_or(Refusal::not_run(Reason::UpstreamDown))?;
         if *link.workspace != *job.workspace {
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -17,6 +17,7 @@
 };
 use acaciaring_schema::log::Unit;
 use acaciaring_schema::peer::{Answer, DedupEntry, Intent, Outcome, Request};
+use crossbeam_channel::Sender;
 use parking_lot::Mutex;
 use tracing::debug;
 
@@ -24,6 +25,7 @@
 use self::queue::Queue;
 use crate::announce::Announcement;
 use crate::clock;
+use crate::control::Event;
 use crate::inflight::InflightGuard;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
@@ -51,6 +53,14 @@
     version: Offset,
 }
 
+/// Limits of a gate.
+#[derive(Debug, Clone)]
+pub(crate) struct GateSettings {
+    pub(crate) admission: AdmissionSettings,
+    /// How heat is measured.
+    pub(crate) warmth: HeatSettings,
+}
+
 /// Gate in front of the upstream.
 pub(crate) struct Gate {
     shared: Arc<Shared>,
@@ -64,6 +74,7 @@
     /// How heat is measured.
     warmth: HeatSettings,
     metrics: Metrics,
+    events: Sender<Event>,
 }
 
 /// One request at the gate.
@@ -73,6 +84,8 @@
     rank: Rank,
     repeat: Repeat,
     deadline: Time,
+    /// Time up to which an answer is in time.
+    aim: Time,
     cancelled: &'a CancelFlag,
 }
 
@@ -81,12 +94,13 @@
     pub(crate) fn new(
         shared: Arc<Shared>,
         outlet: Arc<dyn Outlet>,
-        admission: AdmissionSettings,
-        warmth: HeatSettings,
+        settings: GateSettings,
         transport: Transport,
         outbox: Outbox,
         metrics: Metrics,
+        events: Sender<Event>,
     ) -> Self {
+        let GateSettings { admission, warmth } = settings;
         let queue = Queue::new(admission, metrics.clone());
         Self {
             shared,
@@ -98,6 +112,7 @@
             heat: Mutex::default(),
             warmth,
             metrics,
+            events,
         }
     }
 
@@ -139,7 +154,9 @@
         let workspace = Arc::from(request.workspace.as_str());
         let rank = wire::rank(request.rank);
         let repeat = if request.once { Repeat::Once } else { Repeat::Idempotent };
-        let job = Job { request, workspace, rank, repeat, deadline, cancelled };
+        let aim = now + Duration::from_millis(u64::from(request.aim));
+        let aim = if request.aim > 0 { deadline.min(aim) } else { deadline };
+        let job = Job { request, workspace, rank, repeat, deadline, aim, cancelled };
         if view.closed {
             return Err(Refusal::not_run(Reason::Draining).after(MOVING));
         }
@@ -179,6 +196,11 @@
             Repeat::Once | Repeat::Idempotent => self.forward(job, Some(grant)).await,
         };
         drop(guard);
+        let misplaced = |refusal: &Refusal| refusal.reason == Reason::NotOwner;
+        if answer.as_ref().is_err_and(misplaced) {
+            // Control has ended only when the process is about to exit.
+            let _ = self.events.send(Event::Misplaced(Arc::clone(&job.workspace), grant.unit));
+        }
         answer
     }
 
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -108,13 +108,11 @@
     /// the caller has gone away.
     pub(crate) async fn enter(
         &self,
-        rank: Rank,
-        deadline: Time,
-        attempt: u64,
+        ticket: Ticket,
         cancelled: &CancelFlag,
     ) -> Result<Place<'_>, Refusal> {
         let start = clock::now();
-        let result = self.admit(rank, deadline, attempt, cancelled).await;
+        let result = self.admit(ticket, cancelled).await;
         match &result {
             Ok(place) => self.metrics.time(Timer::Queue, place.start.since(start)),
             Err(Refusal { reason: Reason::Expired, .. }) => {
@@ -126,22 +124,16 @@
         result
     }
 
-    async fn admit(
-        &self,
-        rank: Rank,
-        deadline: Time,
-        attempt: u64,
-        cancelled: &CancelFlag,
-    ) -> Result<Place<'_>, Refusal> {
+    async fn admit(&self, ticket: Ticket, cancelled: &CancelFlag) -> Result<Place<'_>, Refusal> {
         let (sender, decision) = oneshot::channel();
-        let ticket = Ticket { rank, deadline, attempt };
+        let attempt = ticket.attempt;
         let now = clock::now();
         let offer = self.admission.lock().offer(now, ticket, sender);
         match offer {
             Offer::Start(_) => {}
             Offer::Queued { displaced } => {
                 refuse(displaced);
-                self.wait(decision, attempt, deadline, cancelled).await?;
+                self.wait(decision, attempt, ticket.last, cancelled).await?;
             }
             Offer::Refused(_, refusal) => return Err(refusal),
         }
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -21,6 +21,9 @@
 use crate::peer::link::Link;
 use crate::peer::transport::Shared;
 
+/// Tries to deliver a cancellation; the deadline of the attempt ends its work in the end.
+const CANCELS: usize = 3;
+
 /// Connections on which a message is written before it counts as not delivered.
 const SENDS: usize = 2;
 
@@ -44,9 +47,12 @@
 pub(super) fn cancel(shared: &Arc<Shared>, to: SocketAddr, attempt: u64) {
     let task = Arc::clone(shared);
     shared.runtime.spawn(async move {
-        let body = call::Body::Cancel(Cancel { attempt });
-        if let Err(error) = call(&task, to, body, task.settings.connect).await {
-            debug!(%to, attempt, %error, "cancellation not delivered");
+        for _ in 0..CANCELS {
+            let body = call::Body::Cancel(Cancel { attempt });
+            match call(&task, to, body, task.settings.connect).await {
+                Ok(_) => return,
+                Err(error) => debug!(%to, attempt, %error, "cancellation not delivered"),
+            }
         }
     });
 }
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use quinn::SendStream;
+use tokio::task::{JoinError, JoinHandle};
 use tokio::time;
 use tracing::{Instrument, error, info_span};
 
@@ -34,6 +35,7 @@
     };
     let arrival = Instant::now();
     let worker = Arc::clone(shared);
+    let left = flag.clone();
     // A task of its own: the answer can be fetched after this stream has broken off.
     let mut job = tokio::spawn(async move {
         let answer = run(&worker, request, flag, arrival).await;
@@ -45,7 +47,7 @@
         if let Ok(frame) = encode(shared, reply::Body::Arrived(Arrived {})) {
             write_frame(send, frame, false).await;
         }
-        job.await
+        wait(job, send, &left).await
     };
     match answered {
         Ok(frame) => write_frame(send, frame, true).await,
@@ -53,6 +55,27 @@
     }
 }
 
+/// Waits for the answer of a request; cancels it when the sender no longer listens.
+///
+/// A sender that gives an attempt up drops its stream, which is heard at once where the
+/// cancellation that it sends may be lost. A stream that dies with its connection says nothing.
+async fn wait(
+    mut job: JoinHandle<Bytes>,
+    send: &mut SendStream,
+    flag: &CancelFlag,
+) -> Result<Bytes, JoinError> {
+    let stopped = send.stopped();
+    tokio::select! {
+        answered = &mut job => return answered,
+        stopped = stopped => {
+            if matches!(stopped, Ok(Some(_))) {
+                flag.set();
+            }
+        }
+    }
+    job.await
+}
+
 /// Runs a request when it is its turn, unless it is cancelled or late by then.
 async fn run(
     shared: &Arc<Shared>,
--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -171,8 +171,9 @@
             tries: search.repeats,
             redirects: 0,
             elsewhere: false,
+            most: plan.class.tries,
         };
-        match self.budgets.next(now, &plan.route.workspace, &plan.class.name, &failure) {
+        match self.allowed(now, plan, &failure) {
             RetryDecision::Retry { after } => sleep(after).await,
             RetryDecision::GiveUp => return Err(search.give_up()),
         }
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use acaciaring_core::choice::Choice;
+use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Route};
 use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
 use acaciaring_schema::peer::{Answer, Request};
@@ -20,7 +21,7 @@
 use rand::Rng;
 use tracing::debug;
 
-pub(crate) use self::budgets::Budgets;
+pub(crate) use self::budgets::{Budgets, CommonBudget};
 pub(crate) use self::lingerers::Lingerers;
 pub(crate) use self::outages::Outages;
 pub(crate) use self::shares::Shares;
@@ -37,6 +38,9 @@
 /// HTTP status of a body above the route's limit.
 const TOO_LARGE: u16 = 413;
 
+/// Shortest time that a message states.
+const MILLI: Duration = Duration::from_millis(1);
+
 /// When a caller may come back after its request could not reach an owner.
 const COME_BACK: Duration = Duration::from_millis(300);
 
@@ -62,6 +66,8 @@
     class: Class,
     key: Option<KeyHash>,
     deadline: Time,
+    /// Time up to which an answer is in time, where a later one is of less use.
+    aim: Option<Time>,
     request: Request,
 }
 
@@ -126,8 +132,9 @@
         };
         let span = request.deadline.map_or(class.deadline, |asked| asked.min(class.deadline));
         let deadline = request.received + span;
+        let aim = class.target.map(|target| request.received + target);
         let message = message(request, &route, &class, key, id);
-        Ok(Plan { route, class, key, deadline, request: message })
+        Ok(Plan { route, class, key, deadline, aim, request: message })
     }
 
     /// Refuses requests while this member holds no lease.
@@ -150,6 +157,13 @@
         Refusal::not_run(Reason::NoRoute)
     }
 
+    /// Decides whether a request may be tried again, within what all members share.
+    fn allowed(&self, now: Time, plan: &Plan, failure: &Failure) -> RetryDecision {
+        let members = self.shared.view().state.members().count();
+        let (service, class) = (&plan.route.workspace, &plan.class.name);
+        self.budgets.next(now, members, service, class, failure)
+    }
+
     async fn route(&self, plan: &Plan) -> EntryAnswer {
         self.budgets.first_try(clock::now(), &plan.route.workspace, &plan.class.name);
         let answer = match plan.route.division {
@@ -171,6 +185,7 @@
             target: target.0,
             applied: view.state.next(),
             declared: self.declarations.version(),
+            aim: plan.aim.map_or(0, |aim| wire::millis(aim.since(clock::now()).max(MILLI))),
             ..plan.request.clone()
         };
         let outcome = if view.me == Some(target) {
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -17,6 +17,8 @@
 struct Progress {
     tried: Vec<MemberId>,
     tries: u32,
+    /// Tries that reached no member.
+    undelivered: u32,
     /// True once a try may have reached an upstream.
     lost: bool,
 }
@@ -82,10 +84,9 @@
             tries: progress.tries,
             redirects: 0,
             elsewhere,
+            most: progress.most(plan.class.tries),
         };
-        let RetryDecision::Retry { after } =
-            self.budgets.next(now, &plan.route.workspace, &plan.class.name, &failure)
-        else {
+        let RetryDecision::Retry { after } = self.allowed(now, plan, &failure) else {
             return Err(progress.settle(refusal));
         };
         if !elsewhere {
@@ -101,9 +102,15 @@
     fn note(&mut self, target: MemberId, refusal: Refusal) {
         self.tried.push(target);
         self.tries += 1;
+        self.undelivered += u32::from(refusal.reason == Reason::Unreachable);
         self.lost |= refusal.verdict == Verdict::Unknown;
     }
 
+    /// Returns how many tries a class allows, those not counted that reached no member.
+    fn most(&self, tries: u32) -> u32 {
+        if tries > 0 { tries + self.undelivered } else { 0 }
+    }
+
     /// Returns the final answer; "not run" only if no try may have run.
     ///
     /// Guards against a lost answer followed by a refusal elsewhere: the caller would be told
