--- a/acaciaringd/src/router/budgets/tests.rs
+++ b/acaciaringd/src/router/budgets/tests.rs
@@ -11,6 +11,17 @@
 /// Common budget that binds nobody.
 const AMPLE: CommonBudget = CommonBudget { burst: 1e6, window: Duration::from_secs(10) };
 
+/// First try of a request, refused by a member while another may take it.
+const BUSY: Failure = Failure {
+    refusal: Refusal::not_run(Reason::Busy),
+    repeat: Repeat::Idempotent,
+    left: Duration::from_secs(1),
+    tries: 1,
+    redirects: 0,
+    elsewhere: true,
+    most: 0,
+};
+
 // Samples fail by the hundred and use up their retries. A request to grade, of another class of the
 // same service, is tried again all the same.
 #[test]
@@ -18,16 +29,7 @@
     let budgets = Budgets::new(RetrySettings::default(), AMPLE);
     let now = Time::ZERO + Duration::from_secs(1);
     let (lab, samples, grade) = (Name::from("lab"), Name::from("samples"), Name::from("grade"));
-    let failure = Failure {
-        refusal: Refusal::not_run(Reason::Busy),
-        repeat: Repeat::Idempotent,
-        left: Duration::from_secs(1),
-        tries: 1,
-        redirects: 0,
-        elsewhere: true,
-        most: 0,
-    };
-    let next = |class| budgets.next(now, 1, &lab, class, &failure);
+    let next = |class| budgets.next(now, 1, &lab, class, &BUSY);
     let allowed = (0..100).take_while(|_| next(&samples) != RetryDecision::GiveUp).count();
     assert!(allowed < 100, "the retries of a class have no bound");
     assert_eq!(next(&samples), RetryDecision::GiveUp);
@@ -40,15 +42,7 @@
 fn members_share_the_retries_of_a_service() {
     let common = CommonBudget { burst: 50.0, window: Duration::from_secs(10) };
     let (members, lab, grade) = (10, Name::from("lab"), Name::from("grade"));
-    let failure = Failure {
-        refusal: Refusal::unknown(Reason::LostAnswer),
-        repeat: Repeat::Idempotent,
-        left: Duration::from_secs(1),
-        tries: 1,
-        redirects: 0,
-        elsewhere: true,
-        most: 0,
-    };
+    let failure = Failure { refusal: Refusal::unknown(Reason::LostAnswer), ..BUSY };
     let mut allowed = 0;
     for _ in 0..members {
         let budgets =
@@ -67,15 +61,7 @@
 fn a_class_bounds_the_tries_of_a_request() {
     let budgets = Budgets::new(RetrySettings::default(), AMPLE);
     let (lab, grade) = (Name::from("lab"), Name::from("grade"));
-    let failure = |tries| Failure {
-        refusal: Refusal::not_run(Reason::Busy),
-        repeat: Repeat::Idempotent,
-        left: Duration::from_secs(1),
-        tries,
-        redirects: 0,
-        elsewhere: true,
-        most: 2,
-    };
+    let failure = |tries| Failure { tries, most: 2, ..BUSY };
     let next = |tries| budgets.next(Time::ZERO, 1, &lab, &grade, &failure(tries));
     assert!(matches!(next(1), RetryDecision::Retry { .. }));
     assert_eq!(next(2), RetryDecision::GiveUp);
