Read members once, and compare ranges of keys in one place

The holds of an upstream compared ranges in five closures, and laid out the rows of each reply twice.

Before and after: two copies of each reading, now one; five comparisons, now `meet` and `lie_in`; rows laid out twice for a reply that fits, now once.

Ruled out: a public constructor for the tests' members; they state the values they are about.

Shown by the tests of the core, unchanged.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
+use std::slice;
 use std::time::Duration;
 
 use crate::id::{Name, Token, UnitId};
@@ -264,11 +265,14 @@
         let known = |wanted: &&Wanted| self.given.contains_key(&wanted.unit);
         let (mut units, new): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(known);
         units.extend(new);
-        let fits = |count: &usize| rows(&units[..*count]).len() <= room;
-        // More units never make fewer rows, but for those that close a gap between two.
-        let counts: Vec<usize> = (0..=units.len()).collect();
-        let count = if fits(&units.len()) { units.len() } else { counts.partition_point(fits) - 1 };
-        units.truncate(count);
+        let mut granted = rows(&units);
+        if granted.len() > room {
+            // More units never make fewer rows, but for those that close a gap between two.
+            let fits = |count: &usize| rows(&units[..*count]).len() <= room;
+            let counts: Vec<usize> = (0..=units.len()).collect();
+            units.truncate(counts.partition_point(fits) - 1);
+            granted = rows(&units);
+        }
         for given in self.given.values_mut() {
             given.present = false;
         }
@@ -278,7 +282,7 @@
         self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
         // The upstream counts from the sending of its report, a moment before it was heard.
         self.lapse = self.heard + hold.saturating_sub(EFFECT);
-        Some((rows(&units), hold))
+        Some((granted, hold))
     }
 
     fn give(&mut self, now: Time, wanted: &Wanted) {
@@ -335,7 +339,7 @@
         if now >= self.until {
             return false;
         }
-        let reported = self.reported.iter().any(|held| keys.iter().any(|k| meets(k, held)));
+        let reported = meet(keys, &self.reported);
         self.unknown() || reported || self.given.contains_key(&unit)
     }
 
@@ -353,10 +357,7 @@
     /// Returns what the upstream gave out when it released keys, empty when it gave nothing.
     #[must_use]
     pub fn handover(&self, keys: &[RangeInclusive<u32>]) -> Name {
-        let covers = |freed: &&Freed| {
-            keys.iter().all(|keys| freed.first <= *keys.start() && *keys.end() <= freed.last)
-        };
-        let freed = self.freed.iter().rev().find(covers);
+        let freed = self.freed.iter().rev().find(|freed| lie_in(keys, freed.first, freed.last));
         freed.map_or_else(|| Name::from(""), |freed| Name::clone(&freed.handover))
     }
 
@@ -364,32 +365,37 @@
     fn settle(&mut self, now: Time) {
         let (reported, freed) = (&self.reported, &self.freed);
         self.given.retain(|_, given| {
-            let held = reported.iter().any(|held| given.keys.iter().any(|keys| meets(keys, held)));
-            let released = freed.iter().any(|freed| {
-                given.keys.iter().all(|k| freed.first <= *k.start() && *k.end() <= freed.last)
-            });
+            let held = meet(&given.keys, reported);
+            let released = freed.iter().any(|freed| lie_in(&given.keys, freed.first, freed.last));
             let taken = now.since(given.latest) < REPLY_LIFE;
             held || given.present || (taken && !released)
         });
         // What is held again was not released for good.
-        self.freed.retain(|freed| {
-            let keys = freed.first..=freed.last;
-            !reported.iter().any(|held| meets(&keys, held))
-        });
+        self.freed.retain(|freed| !meet(&[freed.first..=freed.last], reported));
         let excess = self.freed.len().saturating_sub(FREED);
         self.freed.drain(..excess);
     }
 
     fn is_reported(&self, keys: &[RangeInclusive<u32>], token: Token) -> bool {
         keys.iter().all(|keys| {
-            let covers = |held: &&Held| held.first <= *keys.start() && *keys.end() <= held.last;
-            self.reported.iter().any(|held| covers(&held) && held.token == token)
+            let keys = slice::from_ref(keys);
+            let covers = |held: &Held| lie_in(keys, held.first, held.last) && held.token == token;
+            self.reported.iter().any(covers)
         })
     }
 }
 
-fn meets(keys: &RangeInclusive<u32>, held: &Held) -> bool {
-    held.first <= *keys.end() && *keys.start() <= held.last
+/// Returns true when some of the keys are in a range that is held.
+fn meet(keys: &[RangeInclusive<u32>], held: &[Held]) -> bool {
+    let meets = |keys: &RangeInclusive<u32>, held: &Held| {
+        held.first <= *keys.end() && *keys.start() <= held.last
+    };
+    held.iter().any(|held| keys.iter().any(|keys| meets(keys, held)))
+}
+
+/// Returns true when all of the keys are in the range from `first` to `last`.
+fn lie_in(keys: &[RangeInclusive<u32>], first: u32, last: u32) -> bool {
+    keys.iter().all(|keys| first <= *keys.start() && *keys.end() <= last)
 }
 
 /// Returns the ranges of units; neighbours that are given alike are joined.
--- a/acaciaring_core/src/state/member.rs
+++ b/acaciaring_core/src/state/member.rs
@@ -1,5 +1,7 @@
 //! Members as recorded in the log.
 
+use acaciaring_schema::log;
+
 use crate::id::{MemberId, Name, Offset};
 
 /// Phase of a member's life; it only moves forward.
@@ -57,7 +59,38 @@
     pub phase: Phase,
 }
 
+impl Attachment {
+    /// Reads an attachment as recorded.
+    pub(super) fn read(attach: &log::Attach) -> Self {
+        Self {
+            workspace: attach.workspace.as_str().into(),
+            upstream: attach.upstream.as_str().into(),
+            fenced: attach.fenced,
+            instance: attach.instance.as_str().into(),
+        }
+    }
+}
+
 impl Member {
+    /// Returns a member as it is when its start is recorded, without lessors.
+    pub(super) fn started(offset: Offset, join: &log::Join) -> Self {
+        Self {
+            id: MemberId(offset),
+            vm: join.vm.as_str().into(),
+            nonce: join.nonce,
+            data_centre: join.data_centre.as_str().into(),
+            region: join.region.as_str().into(),
+            rack: join.rack.as_str().into(),
+            peer: join.peer.as_str().into(),
+            http: join.http.as_str().into(),
+            fingerprint: join.fingerprint.clone(),
+            attachment: None,
+            version: offset,
+            lessors: Vec::new(),
+            phase: Phase::Alive,
+        }
+    }
+
     /// Returns true when the member may get new work.
     #[must_use]
     pub fn alive(&self) -> bool {
--- a/acaciaring_core/src/state/members.rs
+++ b/acaciaring_core/src/state/members.rs
@@ -13,21 +13,7 @@
 
 impl State {
     pub(super) fn join(&mut self, offset: Offset, join: &log::Join) {
-        let mut member = Member {
-            id: MemberId(offset),
-            vm: join.vm.as_str().into(),
-            nonce: join.nonce,
-            data_centre: join.data_centre.as_str().into(),
-            region: join.region.as_str().into(),
-            rack: join.rack.as_str().into(),
-            peer: join.peer.as_str().into(),
-            http: join.http.as_str().into(),
-            fingerprint: join.fingerprint.clone(),
-            attachment: None,
-            version: offset,
-            lessors: Vec::new(),
-            phase: Phase::Alive,
-        };
+        let mut member = Member::started(offset, join);
         member.lessors = self.choose_lessors(&member);
         self.counts.hold(&member.lessors);
         self.members.insert(member.id, member);
@@ -35,12 +21,7 @@
 
     pub(super) fn attach(&mut self, offset: Offset, attach: &log::Attach) -> Result<(), Rejection> {
         let id = self.alive(attach.member)?;
-        let attachment = Attachment {
-            workspace: attach.workspace.as_str().into(),
-            upstream: attach.upstream.as_str().into(),
-            fenced: attach.fenced,
-            instance: attach.instance.as_str().into(),
-        };
+        let attachment = Attachment::read(attach);
         let Some(member) = self.members.get_mut(&id) else { return Err(unknown(id)) };
         let elsewhere =
             member.attachment.as_ref().is_some_and(|a| a.workspace != attachment.workspace);
--- a/acaciaring_core/src/state/snapshot/decode.rs
+++ b/acaciaring_core/src/state/snapshot/decode.rs
@@ -183,31 +183,13 @@
     if !sorted || lessors.len() > LESSORS_MAX || lessors.contains(&id) {
         return None;
     }
-    let attachment = wire.attach.as_ref().map(|attach| Attachment {
-        workspace: attach.workspace.as_str().into(),
-        upstream: attach.upstream.as_str().into(),
-        fenced: attach.fenced,
-        instance: attach.instance.as_str().into(),
-    });
+    let attachment = wire.attach.as_ref().map(Attachment::read);
     let valid = |attachment: &Attachment| !attachment.workspace.is_empty() && phase != Phase::Dead;
     if !attachment.as_ref().is_none_or(valid) {
         return None;
     }
-    Some(Member {
-        id,
-        vm: join.vm.as_str().into(),
-        nonce: join.nonce,
-        data_centre: join.data_centre.as_str().into(),
-        region: join.region.as_str().into(),
-        rack: join.rack.as_str().into(),
-        peer: join.peer.as_str().into(),
-        http: join.http.as_str().into(),
-        fingerprint: join.fingerprint.clone(),
-        attachment,
-        version: wire.version,
-        lessors,
-        phase,
-    })
+    let started = Member::started(wire.id, join);
+    Some(Member { attachment, version: wire.version, lessors, phase, ..started })
 }
 
 fn service(wire: &wire::Service) -> Option<Service> {
