Look up the own attachment in one place, copy no service for a report

Cause: six functions of control found the member's attachment by themselves, and three asked in the same words whether the identity is about to end.

Ruled out: one check for "still held" in `leave` and `upstream_holds`; they differ for a member that has had no report, and the borrow is another.

--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -57,8 +57,7 @@
     /// Beside an upstream that reports what it holds, moves are planned when a report has come: its
     /// reply can then leave out what moves.
     pub(super) fn balance(&mut self, now: Time) {
-        let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
-        if retiring {
+        if self.retiring() {
             return;
         }
         if now.since(self.balance.reported) >= REPORT.min(self.parts.interval) {
@@ -74,8 +73,7 @@
     /// Proposes moves of this member's units, if it is time for it.
     pub(super) fn plan_when_due(&mut self, now: Time) {
         let due = now.since(self.balance.planned) >= self.parts.interval;
-        let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
-        if due && !retiring && !self.pausing && self.parts.balance.least_moves > 0 {
+        if due && !self.retiring() && !self.pausing && self.parts.balance.least_moves > 0 {
             self.balance.planned = now;
             self.plan(now);
         }
@@ -168,8 +166,7 @@
     }
 
     fn own_workspace(&self) -> Option<Name> {
-        let member = self.state.member(self.identity.as_ref()?.me)?;
-        member.attachment.as_ref().map(|attachment| Arc::clone(&attachment.workspace))
+        self.attachment().map(|attachment| Arc::clone(&attachment.workspace))
     }
 
     fn plan(&mut self, now: Time) {
--- a/acaciaringd/src/control/eviction.rs
+++ b/acaciaringd/src/control/eviction.rs
@@ -14,6 +14,9 @@
 use super::identity::Identity;
 use super::proposal::Purpose;
 
+/// Delay of an eviction per rank, so that the members with a proof do not all append it.
+const STAGGER: Duration = Duration::from_millis(100);
+
 /// Why a member may be evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Ground {
@@ -59,9 +62,6 @@
     }
 }
 
-/// Delay of an eviction per rank, so that the members with a proof do not all append it.
-const STAGGER: Duration = Duration::from_millis(100);
-
 impl Control {
     /// Proposes the eviction of members that are proved expired.
     pub(super) fn evict(&mut self, now: Time) {
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::holds::{Holds, Report, Wanted};
+use acaciaring_core::holds::{Granted, Holds, Report, Wanted};
 use acaciaring_core::rights::Right;
-use acaciaring_core::state::{Member, Service};
+use acaciaring_core::state::{Attachment, Member, Service, State};
 use acaciaring_core::{Name, Time, UnitId};
 use tokio::sync::oneshot;
 use tracing::{debug, info, warn};
@@ -104,6 +104,7 @@
         }
         self.dirty = true;
         self.plan_when_due(now);
+        // One report waits at a time; the sender of one that cannot be answered yet reports again.
         self.answer_report(now);
         self.holding.waiting = Some(Waiting { reply, room, until: now + PATIENCE });
         self.answer_report(now);
@@ -125,9 +126,7 @@
     fn moving(&self) -> bool {
         let Some(identity) = &self.identity else { return false };
         let me = Some(identity.me);
-        let member = self.state.member(identity.me);
-        let Some(attachment) = member.and_then(|m| m.attachment.as_ref()) else { return false };
-        let workspace = &attachment.workspace;
+        let Some(Attachment { workspace, .. }) = self.attachment() else { return false };
         if self.proposals.pending(&Purpose::Switchover(Arc::clone(workspace))) {
             return true;
         }
@@ -159,33 +158,24 @@
 
     /// Returns true while this identity stands for an earlier start of the upstream.
     fn attached_elsewhere(&self, instance: &Name) -> bool {
-        let member = self.identity.as_ref().and_then(|identity| self.state.member(identity.me));
-        let attachment = member.and_then(|member| member.attachment.as_ref());
-        attachment.is_some_and(|attachment| attachment.instance != *instance)
+        self.attachment().is_some_and(|attachment| attachment.instance != *instance)
     }
 
     /// Returns what the upstream is to hold, `None` when nothing can be granted.
-    fn grants(
-        &mut self,
-        now: Time,
-        room: usize,
-    ) -> Option<(Vec<acaciaring_core::holds::Granted>, Duration)> {
-        let service = self.own_service()?;
+    fn grants(&mut self, now: Time, room: usize) -> Option<(Vec<Granted>, Duration)> {
+        let attachment = self.attachment()?;
+        if self.holding.holds.instance() != Some(&attachment.instance) {
+            return None;
+        }
+        let workspace = Arc::clone(&attachment.workspace);
+        let state = Arc::clone(&self.state);
         let lease = self.parts.shared.lease.get();
-        let wanted = self.wanted(now, &service);
+        let wanted = self.wanted(now, &state, state.service(&workspace)?);
         self.holding.holds.grant(now, lease, &wanted, room)
     }
 
-    fn own_service(&self) -> Option<Service> {
-        let member = self.state.member(self.identity.as_ref()?.me)?;
-        let attachment = member.attachment.as_ref()?;
-        let current = self.holding.holds.instance() == Some(&attachment.instance);
-        self.state.service(&attachment.workspace).filter(|_| current).cloned()
-    }
-
     /// Returns the units that this member may serve now.
-    fn wanted(&mut self, now: Time, service: &Service) -> Vec<Wanted> {
-        let state = Arc::clone(&self.state);
+    fn wanted(&mut self, now: Time, state: &State, service: &Service) -> Vec<Wanted> {
         let Some(identity) = &mut self.identity else { return Vec::new() };
         let me = Some(identity.me);
         let mut wanted = Vec::new();
@@ -194,20 +184,16 @@
                 continue;
             }
             let (holder, tally) = (&identity.holder, &identity.tally);
-            let right = identity.rights.right(now, &state, holder, tally, &service.workspace, unit);
+            let right = identity.rights.right(now, state, holder, tally, &service.workspace, unit);
             let Right::Serve { token, .. } = right else { continue };
+            let mut handover = None;
             if !self.holding.holds.serves(now, unit, token) {
                 debug!(%unit, token = token.0, ?assignment, "unit is granted anew");
+                let place = (Arc::clone(&service.workspace), unit);
+                handover = self.roles.handovers.get(&place).map(Arc::clone);
             }
-            let keys = service.numbers(unit);
-            let place = (Arc::clone(&service.workspace), unit);
-            let handover = if self.holding.holds.serves(now, unit, token) {
-                None
-            } else {
-                self.roles.handovers.get(&place).map(Arc::clone)
-            };
             let handover = handover.unwrap_or_else(|| Name::from(""));
-            wanted.push(Wanted { unit, token, keys, handover });
+            wanted.push(Wanted { unit, token, keys: service.numbers(unit), handover });
         }
         wanted
     }
@@ -243,7 +229,7 @@
 
     /// Returns true when a process that starts anew here takes this one's place at once.
     pub(super) fn resumable(&self) -> bool {
-        self.holding.reports && self.announced.is_some() && self.attached()
+        self.holding.reports && self.announced.is_some() && self.attachment().is_some()
     }
 
     /// Joins anew in place of an identity whose lease is lost.
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -32,8 +32,7 @@
     /// Proposes what this member lacks: an attachment, better lessors, owners for slots.
     pub(super) fn place(&mut self, now: Time) {
         self.leave_without_log(now);
-        let retiring = self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some());
-        if retiring {
+        if self.retiring() {
             return;
         }
         self.attach(now);
@@ -76,9 +75,7 @@
         if !identity.holder.holds(now) {
             return;
         }
-        let member = self.state.member(identity.me);
-        let attachment = member.and_then(|member| member.attachment.as_ref());
-        match attachment {
+        match self.attachment() {
             Some(attachment) if *attachment.workspace == *announcement.workspace => {}
             Some(_) => self.detach(now),
             None => {
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use acaciaring_core::state::Phase;
+use acaciaring_core::state::{Attachment, Phase};
 use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Exit, Leave, record};
 use tracing::{info, warn};
@@ -105,7 +105,7 @@
 
     /// Takes the upstream out: its units pass to others and this process joins anew without it.
     pub(super) fn detach(&mut self, now: Time) {
-        let attached = self.attached();
+        let attached = self.attachment().is_some();
         if let Some(identity) = self.identity.as_mut().filter(|_| attached) {
             identity.retire(now, Retiring::Upstream);
         }
@@ -227,9 +227,13 @@
         self.dirty = true;
     }
 
-    /// Returns true when the log says that this member serves a workspace.
-    pub(super) fn attached(&self) -> bool {
-        let me = self.identity.as_ref().map(|identity| identity.me);
-        me.and_then(|me| self.state.member(me)).is_some_and(|member| member.attachment.is_some())
+    /// Returns true while this process has no identity, or one that is about to end.
+    pub(super) fn retiring(&self) -> bool {
+        self.identity.as_ref().is_none_or(|identity| identity.retiring.is_some())
+    }
+
+    /// Returns what this member serves by the log's word, `None` before that is recorded.
+    pub(super) fn attachment(&self) -> Option<&Attachment> {
+        self.state.member(self.identity.as_ref()?.me)?.attachment.as_ref()
     }
 }
