Share the pauses between tries, the store's client and the answers to faults

Ruled out: one place for the two programs' loops over signals, which write different lines; one trait for the two verifiers of certificates, whose twin methods belong to two traits of the library and already share their logic.

--- a/acaciaringd/src/appender.rs
+++ b/acaciaringd/src/appender.rs
@@ -11,6 +11,7 @@
 use prost::Message;
 use tracing::{debug, warn};
 
+use crate::backoff::Backoff;
 use crate::platform::{AppendError, LogService};
 use crate::vital;
 
@@ -120,7 +121,7 @@
     /// A record that the log service refuses for good must not hold up the rest.
     fn append(&self, record: &Record) {
         let bytes = record.encode_to_vec();
-        let mut pause = PAUSE;
+        let mut backoff = Backoff::new(PAUSE, LONGEST);
         for _ in 0..TRIES {
             if !self.begin(record) {
                 return;
@@ -131,9 +132,7 @@
             if appended == Appended::Yes {
                 return;
             }
-            // Spread, for after an outage all members come back in the same moment.
-            thread::sleep(pause.mul_f64(rand::random_range(0.5..1.0)));
-            pause = (pause * 2).min(LONGEST);
+            thread::sleep(backoff.pause());
         }
         if self.queue.try_send(record.clone()).is_err() {
             warn!("too many records wait for the log, dropping one");
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -3,6 +3,7 @@
 mod admin;
 pub mod announce;
 mod appender;
+pub mod backoff;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -9,6 +9,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded};
 use tracing::{info, warn};
 
+use crate::backoff::Backoff;
 use crate::control::Event;
 use crate::platform::LogService;
 use crate::vital;
@@ -42,8 +43,8 @@
     wanted: Wanted,
     events: Sender<Event>,
 ) {
-    let reader =
-        Reader { log, wait, relay, wanted, events, failing: false, begun: false, pause: PAUSE };
+    let backoff = Backoff::new(PAUSE, LONGEST);
+    let reader = Reader { log, wait, relay, wanted, events, failing: false, begun: false, backoff };
     vital::spawn("log-reader", move || reader.run());
 }
 
@@ -57,8 +58,8 @@
     failing: bool,
     /// True once a read has said where the log ends.
     begun: bool,
-    /// Pause after the next failed read.
-    pause: Duration,
+    /// Pauses after failed reads.
+    backoff: Backoff,
 }
 
 impl Reader {
@@ -66,8 +67,7 @@
         loop {
             let from = self.wanted.load(Ordering::Acquire);
             let Some(batch) = self.read(from) else {
-                thread::sleep(self.pause.mul_f64(rand::random_range(0.5..1.0)));
-                self.pause = (self.pause * 2).min(LONGEST);
+                thread::sleep(self.backoff.pause());
                 continue;
             };
             if !self.deliver(batch) {
@@ -83,7 +83,7 @@
         match self.log.read(from, LIMIT, wait) {
             Ok(batch) => {
                 self.begun = true;
-                self.pause = PAUSE;
+                self.backoff.reset();
                 if self.failing {
                     info!("the log can be read again");
                 }
--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -101,12 +101,6 @@
     pub const fn may_have_arrived(&self) -> bool {
         matches!(self, Self::Lost { .. } | Self::TooLarge { .. })
     }
-
-    /// Returns true when nobody listens at the address.
-    #[must_use]
-    pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
-    }
 }
 
 /// Whole answer.
@@ -195,11 +189,6 @@
         }
     }
 
-    /// Closes idle connections, for an address whose server has gone.
-    pub fn clear(&self) {
-        self.idle.lock().clear();
-    }
-
     /// Takes the connection that was used last.
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let now = Instant::now();
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -68,6 +68,19 @@
     Malformed,
 }
 
+impl Fault {
+    /// Returns the usual answer.
+    #[must_use]
+    pub fn answer(self) -> Response {
+        let status = match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+        };
+        text(status, "")
+    }
+}
+
 /// What answers requests.
 pub trait Site: Send + Sync + 'static {
     /// Returns the bounds on callers in force.
@@ -80,12 +93,7 @@
 
     /// Answers a request that is not whole; it has not run, and its connection ends.
     fn refuse(&self, fault: Fault) -> Response {
-        let status = match fault {
-            Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Fault::Slow => StatusCode::REQUEST_TIMEOUT,
-            Fault::Malformed => StatusCode::BAD_REQUEST,
-        };
-        text(status, "")
+        fault.answer()
     }
 }
 
