Report load to others as seldom as before, and let a waiting request end by word

Cause: two tests that this work made fail. - Loads were reported every `balance.interval` instead of 5 s, for upstreams that report what they hold; elsewhere moves then fell into the first two seconds, and the hot key's test failed each time. Only beside such upstreams are reports that frequent now, as before on the users' platform. - A request that waits for its turn was answered "not run" at the end of its time, in the moment in which its sender gives up; which came first was chance. It now ends when its sender cancels it, and gives its place up at once.

Traced: `a_retired_document…` fails because members whose lessor sets are being exchanged keep the old set; a planned stop and a crash at once leave it without majority, so nobody has a lease to vote with (seen in the lessors' records). It is older than this work and stays in KNOWN-RED.txt with its cause, as does the overload test, which is not traced. Both tests are unchanged.

--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -60,7 +60,7 @@
         if self.retiring() {
             return;
         }
-        if now.since(self.balance.reported) >= REPORT.min(self.parts.interval) {
+        if now.since(self.balance.reported) >= self.report_interval() {
             self.balance.reported = now;
             self.report_load();
             self.report_imbalance(now);
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Returns the time between two reports of this member's load.
+    ///
+    /// Where moves are planned only with a report of the upstream, each plan gets fresh loads; where
+    /// they are planned every few rounds, fresher loads would move more units.
+    fn report_interval(&self) -> Duration {
+        if self.holding.reports { REPORT.min(self.parts.interval) } else { REPORT }
+    }
+
     /// Proposes moves of this member's units, if it is time for it.
     pub(super) fn plan_when_due(&mut self, now: Time) {
         let due = now.since(self.balance.planned) >= self.parts.interval;
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -83,9 +83,11 @@
     flag: CancelFlag,
     arrival: Instant,
 ) -> Answer {
-    let left = Duration::from_millis(request.left.into());
-    let Ok(turn) = time::timeout(left, shared.lanes.enter()).await else {
-        return not_run(Reason::Expired);
+    // The sender cancels what it gives up. An answer at the end of its time would cross with that,
+    // and whether the sender hears it or its own time-out first would be chance.
+    let turn = tokio::select! {
+        turn = shared.lanes.enter() => turn,
+        () = flag.cancelled() => return not_run(Reason::Cancelled),
     };
     let Some(_turn) = turn else { return not_run(Reason::Busy) };
     let waited = u32::try_from(arrival.elapsed().as_millis()).unwrap_or(u32::MAX);
