Let control do less each round; count aims from a caller's first try

Cause: a member with a thousand units spent a tenth of its machine's time in control. Each round looked through all releases ever made, asked whether a move is under way although no report waited, and compared names for each unit; the roles were taken up anew with each view. A refused caller that came back counted like a new one, so it was served late after others that could wait. A set of lessors counted from its proposal on, so each exchange cost the lease for as long as a connection to a new one takes; a newcomer whose lessors had ended waited for their eviction.

- Releases that are still open are kept apart; roles are taken up when state or rights have changed; keys of the rights begin with the number of the unit; who is lost is asked once for all units.
- The entry knows from what callers state for how long one has waited, and counts the aim from there.
What is critical is not put off.
- New lessors are asked before they are proposed.
One that has no lease and no units leaves out lessors that do not answer.

Ruled out: a time to come back beyond what callers have (they return all the same).

--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -354,7 +354,7 @@
         {
             self.mode = Mode::Open;
         }
-        if ticket.deadline <= now {
+        if ticket.last <= now {
             return Some(Refusal::not_run(Reason::Expired));
         }
         if self.running.contains_key(&ticket.attempt) || self.is_waiting(ticket.attempt) {
--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -139,6 +139,8 @@
     until: Time,
     /// Time from which the upstream may have let go what it was given last.
     lapse: Time,
+    /// When what was given last takes effect, each time once.
+    effects: Vec<Time>,
 }
 
 impl Holds {
@@ -160,6 +162,7 @@
             freed: Vec::new(),
             until: now + hold.mul_f64(1.0 + DRIFT),
             lapse: now,
+            effects: Vec::new(),
         }
     }
 
@@ -279,6 +282,9 @@
         for unit in &units {
             self.give(now, unit);
         }
+        self.effects = self.given.values().map(|given| given.effect).collect();
+        self.effects.sort_unstable();
+        self.effects.dedup();
         self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
         // The upstream counts from the sending of its report, a moment before it was heard.
         self.lapse = self.heard + hold.saturating_sub(EFFECT);
@@ -318,8 +324,8 @@
     /// Returns when the next grant takes effect or all lapse, none when neither is to come.
     #[must_use]
     pub fn next_effect(&self, now: Time) -> Option<Time> {
-        let effects = self.given.values().map(|given| given.effect);
-        effects.chain([self.lapse]).filter(|time| now < *time).min()
+        let times = self.effects.iter().copied().chain([self.lapse]);
+        times.filter(|time| now < *time).min()
     }
 
     /// Notes that the upstream has refused a request for a unit that it should hold.
--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -11,6 +11,11 @@
 /// Most doublings of the time after which a renewal is sent again.
 const MAX_DOUBLINGS: u32 = 8;
 
+/// Renewals that a lessor may leave without answer before it counts as silent.
+///
+/// With the pauses between them that is about a second, enough for a connection to be made.
+const SILENT: u32 = 3;
+
 /// Lessor set whose majority the holder needs.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct LessorSet {
@@ -72,6 +77,8 @@
     settings: LeaseSettings,
     /// Sets whose majorities are all needed; proposed ones last.
     sets: Vec<LessorSet>,
+    /// Lessors that are asked before they are proposed.
+    prepared: Vec<MemberId>,
     links: BTreeMap<MemberId, Link>,
     seq: u64,
     /// Latest lease end so far, or the start of this identity.
@@ -86,7 +93,8 @@
     /// `Join` grant for longer than others wait.
     #[must_use]
     pub fn new(me: MemberId, start: Time, settings: LeaseSettings) -> Self {
-        Self { me, settings, sets: Vec::new(), links: BTreeMap::new(), seq: 0, lapse: start }
+        let (sets, prepared) = (Vec::new(), Vec::new());
+        Self { me, settings, sets, prepared, links: BTreeMap::new(), seq: 0, lapse: start }
     }
 
     /// Returns the identity that holds the lease.
@@ -144,8 +152,35 @@
         self.settle();
     }
 
+    /// Asks lessors that are to be proposed once they grant; nothing else changes.
+    ///
+    /// Guards against a lease that is lost for each exchange of lessors: a set counts from its
+    /// proposal on, and until a majority of it has granted for the first time there would be no
+    /// lease. Callers saw their requests refused for as long as a connection to a new lessor takes.
+    pub fn prepare(&mut self, lessors: &[MemberId]) {
+        if self.prepared != lessors {
+            self.prepared = lessors.to_vec();
+            self.settle();
+        }
+    }
+
+    /// Returns true when a set that is proposed now leaves the lease as long as it is usually.
+    #[must_use]
+    pub fn ready(&self, now: Time, lessors: &[MemberId]) -> bool {
+        let latest = self.latest(&LessorSet::new(None, lessors));
+        latest.is_some_and(|latest| now + self.settings.interval < latest + self.settings.usable())
+    }
+
+    /// Returns the lessors that have answered none of several renewals, or refuse.
+    #[must_use]
+    pub fn silent(&self) -> Vec<MemberId> {
+        let silent = |link: &Link| link.refused || (link.latest.is_none() && link.tries > SILENT);
+        self.links.iter().filter(|(_, link)| silent(link)).map(|(id, _)| *id).collect()
+    }
+
     /// Needs the majority of a further set from now on; to be called before its record is appended.
     pub fn propose(&mut self, lessors: &[MemberId]) {
+        self.prepared.clear();
         let set = LessorSet::new(None, lessors);
         if !self.sets.contains(&set) {
             self.sets.push(set);
@@ -266,8 +301,8 @@
             Some(version) if version < newest => !superseded(set, version, links),
             _ => true,
         });
-        let wanted: BTreeSet<MemberId> =
-            self.sets.iter().flat_map(|set| set.lessors.iter().copied()).collect();
+        let needed = self.sets.iter().flat_map(|set| &set.lessors);
+        let wanted: BTreeSet<MemberId> = needed.chain(&self.prepared).copied().collect();
         self.links.retain(|id, _| wanted.contains(id));
         for id in wanted {
             self.links.entry(id).or_default();
--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -9,7 +9,10 @@
 use crate::time::Time;
 
 /// Unit of a workspace.
-type Key = (Name, UnitId);
+///
+/// The unit stands first, so that a look-up compares numbers and at most one name: with thousands
+/// of units a member computes its rights several times a second.
+type Key = (UnitId, Name);
 
 /// Whether this process may serve a unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -82,7 +85,7 @@
         if self.changing.contains(&(workspace.clone(), unit.slot)) {
             return false;
         }
-        let key = (workspace.clone(), unit);
+        let key = (unit, workspace.clone());
         self.served.remove(&key);
         self.given.insert(key, Roles::of(assignment));
         true
@@ -94,24 +97,24 @@
     /// evicted, the release is to be sent again under the new version.
     #[must_use]
     pub fn gave(&self, workspace: &Name, unit: UnitId, assignment: &Assignment) -> bool {
-        self.given.get(&(workspace.clone(), unit)) == Some(&Roles::of(assignment))
+        self.given.get(&(unit, workspace.clone())) == Some(&Roles::of(assignment))
     }
 
     /// Notes that `from` has released a unit to this process.
     pub fn released(&mut self, from: MemberId, workspace: &Name, unit: UnitId, version: Offset) {
-        raise(&mut self.received, ((workspace.clone(), unit), from), version);
+        raise(&mut self.received, ((unit, workspace.clone()), from), version);
     }
 
     /// Notes that this process is about to append a record that gives its standby role away.
     pub fn renounce(&mut self, workspace: &Name, unit: UnitId, version: Offset) {
-        let key = (workspace.clone(), unit);
+        let key = (unit, workspace.clone());
         self.served.remove(&key);
         raise(&mut self.renounced, key, version);
     }
 
     /// Takes a renunciation back; to be called only when its record is rejected for sure.
     pub fn restore(&mut self, workspace: &Name, unit: UnitId, version: Offset) {
-        let key = (workspace.clone(), unit);
+        let key = (unit, workspace.clone());
         if self.renounced.get(&key) == Some(&version) {
             self.renounced.remove(&key);
         }
@@ -135,7 +138,7 @@
     /// old one, which may still serve.
     #[must_use]
     pub fn serving(&self, workspace: &Name, unit: UnitId) -> bool {
-        self.served.contains(&(workspace.clone(), unit))
+        self.served.contains(&(unit, workspace.clone()))
     }
 
     /// Notes that this process's own split is read back: it serves the hot key as it served the slot.
@@ -144,7 +147,7 @@
     /// served until the slot's former owner had released the key as well.
     pub fn inherit(&mut self, workspace: &Name, key: UnitId) {
         if self.serving(workspace, UnitId::slot(key.slot)) {
-            self.served.insert((workspace.clone(), key));
+            self.served.insert((key, workspace.clone()));
         }
     }
 
@@ -153,8 +156,8 @@
     /// Of a workspace whose route is retired all is kept: its units keep their
     /// owners, and nobody releases anew when it is published again.
     pub fn prune(&mut self, me: MemberId, state: &State) {
-        let retired = |key: &Key| state.service(&key.0).is_none();
-        let find = |(workspace, unit): &Key| state.service(workspace)?.assignment(*unit);
+        let retired = |key: &Key| state.service(&key.1).is_none();
+        let find = |(unit, workspace): &Key| state.service(workspace)?.assignment(*unit);
         let mine = |a: &Assignment| a.owner == Some(me) || a.standby == Some(me);
         self.served.retain(|key| retired(key) || find(key).is_some_and(mine));
         self.given
@@ -199,7 +202,7 @@
         expired: impl Fn(MemberId) -> bool,
     ) -> Right {
         let Assignment { owner, standby, version, token, .. } = *assignment;
-        let key = (workspace.clone(), unit);
+        let key = (unit, workspace.clone());
         let me = holder.id();
         // A release holds as long as the standby and the owner are the same, not
         // only under one version. Failure: a third member's eviction changes the
--- a/acaciaring_core/src/state/lessors.rs
+++ b/acaciaring_core/src/state/lessors.rs
@@ -43,7 +43,7 @@
     /// is the last resort. Fewest holders go first, then the lowest id.
     #[must_use]
     pub fn choose_lessors(&self, member: &Member) -> Vec<MemberId> {
-        self.complete(member, Vec::new())
+        self.complete(member, Vec::new(), &[])
     }
 
     /// Returns a better set of lessors, or `None` when the present one will do.
@@ -56,34 +56,53 @@
     /// had only foreign lessors to choose from, and would keep them.
     #[must_use]
     pub fn better_lessors(&self, member: &Member) -> Option<Vec<MemberId>> {
+        self.better_lessors_but(member, &[])
+    }
+
+    /// Does the same as [`State::better_lessors`], without lessors of which the member hears nothing.
+    #[must_use]
+    pub fn better_lessors_but(
+        &self,
+        member: &Member,
+        silent: &[MemberId],
+    ) -> Option<Vec<MemberId>> {
         let mut kept: Vec<&Member> = Vec::new();
         let mut doubled: Vec<&Member> = Vec::new();
         let present = member.lessors.iter().filter_map(|id| self.members.get(id));
-        let (home, foreign): (Vec<&Member>, Vec<&Member>) =
-            present.filter(|lessor| lessor.alive()).partition(|l| l.region == member.region);
+        let (home, foreign): (Vec<&Member>, Vec<&Member>) = present
+            .filter(|lessor| lessor.alive() && !silent.contains(&lessor.id))
+            .partition(|l| l.region == member.region);
         keep(home, &mut kept, &mut doubled);
         while kept.len() < LESSORS_MAX
-            && let Some(fresh) = self.fresh(member, &kept).filter(|f| f.region == member.region)
+            && let Some(fresh) =
+                self.fresh(member, &kept, silent).filter(|f| f.region == member.region)
         {
             kept.push(fresh);
         }
         keep(foreign, &mut kept, &mut doubled);
         // A second lessor of a data centre stays unless one from another data centre takes its place.
         while kept.len() < LESSORS_MAX
-            && let Some(fresh) = self.fresh(member, &kept)
+            && let Some(fresh) = self.fresh(member, &kept, silent)
         {
             kept.push(fresh);
         }
         kept.extend(doubled);
         kept.truncate(LESSORS_MAX);
-        let set = self.complete(member, kept);
+        let set = self.complete(member, kept, silent);
         (set != member.lessors && !set.is_empty()).then_some(set)
     }
 
     /// Fills up a set of lessors and returns it sorted.
-    fn complete<'a>(&'a self, member: &Member, mut chosen: Vec<&'a Member>) -> Vec<MemberId> {
+    fn complete<'a>(
+        &'a self,
+        member: &Member,
+        mut chosen: Vec<&'a Member>,
+        silent: &[MemberId],
+    ) -> Vec<MemberId> {
         while chosen.len() < LESSORS_MAX {
-            let next = self.fresh(member, &chosen).or_else(|| self.second(member, &chosen));
+            let second = || self.best(member, &chosen, silent, |_| true);
+            // For want of another data centre, the best candidate anywhere.
+            let next = self.fresh(member, &chosen, silent).or_else(second);
             let Some(next) = next else { break };
             chosen.push(next);
         }
@@ -93,24 +112,21 @@
     }
 
     /// Returns the best candidate in a data centre that has no lessor yet.
-    fn fresh(&self, member: &Member, chosen: &[&Member]) -> Option<&Member> {
+    fn fresh(&self, member: &Member, chosen: &[&Member], silent: &[MemberId]) -> Option<&Member> {
         let taken = |other: &Member| chosen.iter().any(|c| c.data_centre == other.data_centre);
-        self.best(member, chosen, |other| !taken(other))
-    }
-
-    /// Returns the best candidate anywhere, for want of another data centre.
-    fn second(&self, member: &Member, chosen: &[&Member]) -> Option<&Member> {
-        self.best(member, chosen, |_| true)
+        self.best(member, chosen, silent, |other| !taken(other))
     }
 
     fn best(
         &self,
         member: &Member,
         chosen: &[&Member],
+        silent: &[MemberId],
         fits: impl Fn(&Member) -> bool,
     ) -> Option<&Member> {
         let free = |other: &&Member| {
-            other.alive() && other.id != member.id && chosen.iter().all(|c| c.id != other.id)
+            let taken = other.id == member.id || chosen.iter().any(|c| c.id == other.id);
+            other.alive() && !taken && !silent.contains(&other.id)
         };
         let rank = |other: &&Member| {
             let foreign = other.region != member.region;
--- a/acaciaring_core/tests/fold/members.rs
+++ b/acaciaring_core/tests/fold/members.rs
@@ -68,6 +68,20 @@
     assert!(better.contains(&others[1]) && better.contains(&farther) && !better.contains(&far));
 }
 
+// Three of five VMs have ended and nobody has recorded it yet. A newcomer that hears nothing from them
+// must find the others, or it waits for evictions before its upstream is served.
+#[test]
+fn lessors_of_which_nothing_is_heard_are_left_out() {
+    let mut log = Log::with_members(5);
+    let newcomer = log.join(4);
+    let member = log.state.member(newcomer).expect("known").clone();
+    let silent = member.lessors[..2].to_vec();
+    let better = log.state.better_lessors_but(&member, &silent).expect("others are there");
+    assert_eq!(better.len(), 3);
+    assert!(better.contains(&member.lessors[2]), "the one that answers stays");
+    assert!(silent.iter().all(|id| !better.contains(id)));
+}
+
 // The very first VM of a place dies before it has found lessors. It never had a lease, so nobody
 // could vote on it; operators would wait for it for ever with each change they publish. Anybody may
 // evict it, but a vote for what it never had is refused, and it is too late for its own lessors then.
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -298,3 +298,37 @@
     let proof = tally.proof(read + settings.lapse(), &subject).expect("the wait is over");
     assert_eq!((proof.votes, proof.lapsed), (vec![A], vec![B]));
 }
+
+// A member's lessor is replaced by one to which there is no connection yet. Proposed at once, the new
+// set would leave the member without lease until the connection is made, and its callers would be
+// refused. Asked beforehand, it is proposed once it grants, and the lease goes on.
+#[test]
+fn an_exchange_of_lessors_that_were_asked_before_keeps_the_lease() {
+    let mut abrupt = holder(&[A, B]);
+    renew(&mut abrupt, ms(100), &[A, B], 10);
+    abrupt.propose(&[C, D]);
+    assert!(!abrupt.holds(ms(200)), "what the exchange costs otherwise");
+
+    let mut holder = holder(&[A, B]);
+    renew(&mut holder, ms(100), &[A, B], 10);
+    holder.prepare(&[C, D]);
+    assert!(!holder.ready(ms(150), &[C, D]));
+    assert!(holder.holds(ms(150)), "those that are only asked are not needed");
+    renew(&mut holder, ms(500), &[A, B, C, D], 10);
+    assert!(holder.ready(ms(510), &[C, D]));
+    holder.propose(&[C, D]);
+    assert!(holder.holds(ms(520)));
+    // What was granted long ago is no reason to propose.
+    assert!(!holder.ready(ms(1600), &[C, D]));
+}
+
+// All VMs start anew, and two do not come back. A newcomer that got them as lessors hears nothing
+// from them, while the third one answers: it is to know which ones to do without.
+#[test]
+fn lessors_that_never_answer_are_silent() {
+    let mut holder = holder(&[A, B, C]);
+    for round in 0..5 {
+        renew(&mut holder, ms(100 + round * 1000), &[C], 10);
+    }
+    assert_eq!(holder.silent(), [A, B]);
+}
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -29,6 +29,12 @@
     pub(super) sent: HashMap<Parcel, Time>,
     /// Releases that the next server has acknowledged.
     pub(super) done: HashSet<Parcel>,
+    /// Releases that are still to be made.
+    ///
+    /// The log names a former owner until the unit moves again, so most of what is to be released
+    /// was released long ago. Looking through all of it in each round took a member with many
+    /// moves a fiftieth of its processor.
+    open: Vec<Parcel>,
 }
 
 impl Control {
@@ -38,14 +44,13 @@
         let state = Arc::clone(&self.state);
         let Some(identity) = &mut self.identity else { return permits };
         let me = identity.me;
+        let live = identity.live(now, &state);
         for service in state.services() {
             for (unit, assignment) in service.units() {
                 if assignment.owner != Some(me) && assignment.standby != Some(me) {
                     continue;
                 }
-                let (holder, tally) = (&identity.holder, &identity.tally);
-                let right =
-                    identity.rights.right(now, &state, holder, tally, &service.workspace, unit);
+                let right = identity.right(now, &live, &service.workspace, unit, assignment);
                 if let Some(permit) = permit(right) {
                     permits.entry(Arc::clone(&service.workspace)).or_default().insert(unit, permit);
                 }
@@ -76,6 +81,9 @@
         };
         self.handover.done.retain(current);
         self.handover.sent.retain(|parcel, _| current(parcel));
+        let parcels = draining.iter().map(|((w, unit), version)| (Arc::clone(w), *unit, *version));
+        self.handover.open =
+            parcels.filter(|parcel| !self.handover.done.contains(parcel)).collect();
     }
 
     /// Releases units that have nothing in flight any more.
@@ -83,8 +91,7 @@
     /// The view without the permit is published before the requests in flight
     /// are counted, see [`crate::inflight::Inflight`].
     pub(super) fn hand_over(&mut self, now: Time) {
-        let parcels: Vec<Parcel> =
-            self.handover.draining.iter().map(|((w, u), v)| (Arc::clone(w), *u, *v)).collect();
+        let parcels = self.handover.open.clone();
         let mut ready: HashMap<(Name, MemberId), Vec<Parcel>> = HashMap::new();
         for parcel in parcels {
             for to in self.release(now, &parcel) {
@@ -103,8 +110,7 @@
     fn release(&mut self, now: Time, parcel: &Parcel) -> Vec<MemberId> {
         let (workspace, unit, _) = parcel;
         let sent = self.handover.sent.get(parcel);
-        if self.handover.done.contains(parcel) || sent.is_some_and(|sent| now.since(*sent) < AGAIN)
-        {
+        if sent.is_some_and(|sent| now.since(*sent) < AGAIN) {
             return Vec::new();
         }
         let Some(service) = self.state.service(workspace) else { return Vec::new() };
@@ -188,6 +194,8 @@
         for (unit, version) in units {
             self.handover.done.insert((Arc::clone(workspace), *unit, *version));
         }
+        let done = &self.handover.done;
+        self.handover.open.retain(|parcel| !done.contains(parcel));
     }
 
     /// Takes in a release by another member, with what it remembers of the units.
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -112,9 +112,13 @@
 
     /// Answers a report, once no move is about to change the answer.
     pub(super) fn answer_report(&mut self, now: Time) {
-        let moving = self.moving();
-        let due = |waiting: &mut Waiting| !moving || now >= waiting.until;
-        let Some(Waiting { reply, room, .. }) = self.holding.waiting.take_if(due) else { return };
+        let Some(until) = self.holding.waiting.as_ref().map(|waiting| waiting.until) else {
+            return;
+        };
+        if now < until && self.moving() {
+            return;
+        }
+        let Some(Waiting { reply, room, .. }) = self.holding.waiting.take() else { return };
         let answer = HeartbeatReply { grants: self.grants(now, room) };
         debug!(ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
         // The sender may have gone away.
@@ -178,13 +182,13 @@
     fn wanted(&mut self, now: Time, state: &State, service: &Service) -> Vec<Wanted> {
         let Some(identity) = &mut self.identity else { return Vec::new() };
         let me = Some(identity.me);
+        let live = identity.live(now, state);
         let mut wanted = Vec::new();
         for (unit, assignment) in service.units() {
             if assignment.owner != me && assignment.standby != me {
                 continue;
             }
-            let (holder, tally) = (&identity.holder, &identity.tally);
-            let right = identity.rights.right(now, state, holder, tally, &service.workspace, unit);
+            let right = identity.right(now, &live, &service.workspace, unit, assignment);
             let Right::Serve { token, .. } = right else { continue };
             let mut handover = None;
             if !self.holding.holds.serves(now, unit, token) {
--- a/acaciaringd/src/control/identity.rs
+++ b/acaciaringd/src/control/identity.rs
@@ -1,8 +1,11 @@
 //! One identity of this process: from its `Join` record to its end.
 
+use std::collections::HashSet;
+
 use acaciaring_core::lease::{Holder, LeaseSettings, Lessor, Tally};
-use acaciaring_core::rights::Rights;
-use acaciaring_core::{MemberId, Time};
+use acaciaring_core::rights::{Right, Rights};
+use acaciaring_core::state::{Assignment, State};
+use acaciaring_core::{MemberId, Name, Time, UnitId};
 
 /// What belongs to one member identity and is never carried over to the next.
 pub(crate) struct Identity {
@@ -45,6 +48,28 @@
         }
     }
 
+    /// Returns the members that may serve, those whose lease is over for good left out.
+    ///
+    /// To be asked once for all units: each answer counts votes.
+    pub(crate) fn live(&self, now: Time, state: &State) -> HashSet<MemberId> {
+        let live = state.members().filter(|member| !self.tally.expired(now, member));
+        live.map(|member| member.id).collect()
+    }
+
+    /// Decides whether this member may serve a unit; `live` is what [`Identity::live`] returns.
+    pub(crate) fn right(
+        &mut self,
+        now: Time,
+        live: &HashSet<MemberId>,
+        workspace: &Name,
+        unit: UnitId,
+        assignment: &Assignment,
+    ) -> Right {
+        // A member that the state does not remember has been dead for long.
+        let expired = |id| !live.contains(&id);
+        self.rights.decide(now, &self.holder, workspace, unit, assignment, expired)
+    }
+
     /// Begins the end of this identity; a stop of the process replaces other reasons but a lost lease.
     pub(crate) fn retire(&mut self, now: Time, reason: Retiring) {
         match self.retiring {
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -113,6 +113,11 @@
         let abandoned = identity.holder.abandoned(now);
         let holder = MemberId(renew.holder);
         let answer = identity.lessor.renew(now, holder, renew.version, abandoned);
+        // One that only prepares to make this member its lessor is not voted on.
+        let known = self.state.member(holder).filter(|member| member.version == renew.version);
+        if known.is_some_and(|member| !member.lessors.contains(&identity.me)) {
+            identity.lessor.unlearn(holder, renew.version);
+        }
         let grant = Grant {
             lessor: identity.me.0,
             holder: renew.holder,
@@ -222,7 +227,7 @@
 }
 
 /// Returns true when the log names a member as owner, standby or prior of nothing.
-fn idle(state: &State, member: MemberId) -> bool {
+pub(super) fn idle(state: &State, member: MemberId) -> bool {
     if state.owned(member) > 0 || state.standing_by(member) > 0 {
         return false;
     }
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -339,13 +339,14 @@
         self.dirty = false;
         let mut permits = self.permits(now);
         self.hold_back(now, &mut permits);
+        let permits = Arc::new(permits);
         self.take_up_roles(now, &permits);
         self.prune_synced();
         let view = View {
             me: self.identity.as_ref().map(|identity| identity.me),
             state: Arc::clone(&self.state),
             routes: self.routes(),
-            permits: Arc::new(permits),
+            permits,
             synced: Arc::new(self.replication.synced.clone()),
             expired: Arc::new(self.expired(now)),
             link: self.link.clone(),
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -9,6 +9,7 @@
 use acaciaring_schema::log::{Assign, Attach, Lessors, record};
 use tracing::info;
 
+use super::lease::idle;
 use super::proposal::{Proposal, Purpose};
 use super::{Announced, Control};
 use crate::announce::{Announcement, Phase};
@@ -92,13 +93,25 @@
     }
 
     /// Proposes a better lessor set; from here on the majorities of both sets are needed.
+    ///
+    /// A member that holds its lease asks the new lessors first. One that has none and owns
+    /// nothing leaves out those that do not answer. Guards against a start of all members in which
+    /// some VMs end for good: a newcomer whose lessors they were would wait until they are
+    /// evicted, and its upstream would have no keys as long.
     fn improve_lessors(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
         let Some(member) = self.state.member(identity.me) else { return };
         if self.proposals.pending(&Purpose::Lessors) {
             return;
         }
-        let Some(lessors) = self.state.better_lessors(member) else { return };
+        let holds = identity.holder.holds(now);
+        let choosy = !holds && idle(&self.state, identity.me);
+        let silent = if choosy { identity.holder.silent() } else { Vec::new() };
+        let Some(lessors) = self.state.better_lessors_but(member, &silent) else { return };
+        if holds && !identity.holder.ready(now, &lessors) {
+            identity.holder.prepare(&lessors);
+            return;
+        }
         identity.holder.propose(&lessors);
         let body = record::Body::Lessors(Lessors {
             member: identity.me.0,
--- a/acaciaringd/src/control/roles.rs
+++ b/acaciaringd/src/control/roles.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::state::Assignment;
+use acaciaring_core::state::{Assignment, State};
 use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::peer::Release;
 
@@ -39,6 +39,8 @@
     pub(super) handovers: HashMap<(Name, UnitId), Name>,
     /// Units that had no server before this member.
     pub(super) founded: HashSet<(Name, UnitId)>,
+    /// State and rights by which the roles were last taken up.
+    seen: Option<(Arc<State>, Arc<Permits>)>,
 }
 
 impl Control {
@@ -56,9 +58,16 @@
     }
 
     /// Tells the memory of once-requests about new roles, before the rights are published.
-    pub(super) fn take_up_roles(&mut self, now: Time, permits: &Permits) {
+    pub(super) fn take_up_roles(&mut self, now: Time, permits: &Arc<Permits>) {
         let Some(me) = self.identity.as_ref().map(|identity| identity.me) else { return };
         let state = Arc::clone(&self.state);
+        let same = |(seen, rights): &(Arc<State>, Arc<Permits>)| {
+            Arc::ptr_eq(seen, &state) && **rights == **permits
+        };
+        if self.roles.seen.as_ref().is_some_and(same) {
+            return;
+        }
+        self.roles.seen = Some((Arc::clone(&state), Arc::clone(permits)));
         let mut seen = HashSet::new();
         for service in state.services() {
             for (unit, assignment) in service.units() {
@@ -141,6 +150,7 @@
         self.roles.inheritances.clear();
         self.roles.handovers.clear();
         self.roles.founded.clear();
+        self.roles.seen = None;
     }
 
     /// Returns the units that never had a server.
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -36,7 +36,7 @@
 use crate::ration::Ration;
 use crate::reader;
 use crate::recent::Recent;
-use crate::router::{Budgets, Lingerers, Outages, Router, Shares, Suspects};
+use crate::router::{Budgets, Lingerers, Outages, Router, Shares, Spans, Suspects};
 use crate::view::Shared;
 
 /// One in this many requests in hand may wait for a takeover.
@@ -145,6 +145,7 @@
             metrics: metrics.clone(),
             lingerers: Lingerers::new(settings.entry.workers as usize / LINGERERS),
             shares: Shares::default(),
+            spans: Spans::default(),
             declarations: Arc::clone(&declarations),
             lines: Ration::new(LINES),
         };
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod outages;
 mod pooled;
 mod shares;
+mod spans;
 mod suspects;
 
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 
 use acaciaring_core::choice::Choice;
 use acaciaring_core::retry::{Failure, RetryDecision};
-use acaciaring_core::route::{Class, Division, Route};
+use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
 use acaciaring_schema::peer::{Answer, Request};
 use parking_lot::Mutex;
@@ -26,6 +27,7 @@
 pub(crate) use self::lingerers::Lingerers;
 pub(crate) use self::outages::Outages;
 pub(crate) use self::shares::Shares;
+pub(crate) use self::spans::Spans;
 pub(crate) use self::suspects::Suspects;
 use crate::clock;
 use crate::declared::Declarations;
@@ -59,6 +61,8 @@
     pub(crate) lingerers: Lingerers,
     /// Shares of routes that are shared out.
     pub(crate) shares: Shares,
+    /// Times that callers of each class state.
+    pub(crate) spans: Spans,
     pub(crate) declarations: Arc<Declarations>,
     /// Bound on the lines about requests without an answer.
     pub(crate) lines: Ration,
@@ -184,7 +188,7 @@
         };
         let span = request.deadline.map_or(class.deadline, |asked| asked.min(class.deadline));
         let deadline = request.received + span;
-        let aim = class.target.map(|target| request.received + target);
+        let aim = self.aim(&route, &class, &request);
         let received = request.received;
         let label = request.label.clone();
         let message = message(request, &route, &class, key, id);
@@ -203,6 +207,18 @@
         })
     }
 
+    /// Returns up to when an answer is in time, counted from the caller's first try.
+    ///
+    /// What is critical is never put off for its caller's having waited.
+    fn aim(&self, route: &Route, class: &Class, request: &EntryRequest) -> Option<Time> {
+        let target = class.target?;
+        let waited = request
+            .deadline
+            .filter(|_| class.rank != Rank::Critical)
+            .map(|asked| self.spans.waited(request.received, &route.workspace, &class.name, asked));
+        Some(request.received + target.saturating_sub(waited.unwrap_or_default()))
+    }
+
     /// Refuses requests while this member holds no lease.
     ///
     /// Guards against an evicted member that still takes requests by an old
--- /dev/null
+++ b/acaciaringd/src/router/spans.rs
@@ -0,0 +1,61 @@
+//! For how long callers wait, and so which of them have come before.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acaciaring_core::{Name, Time};
+use parking_lot::Mutex;
+
+/// Time for which the longest span that callers stated counts, and twice that at most.
+///
+/// Callers of a class state the same span at first; a minute is long enough to see it, and short
+/// enough to follow operators who change it.
+const WINDOW: Duration = Duration::from_mins(1);
+
+/// Classes that are remembered; beyond it all begin anew.
+const MOST: usize = 4096;
+
+/// Longest spans that callers have stated lately, by service and class.
+///
+/// A caller that was refused and has come back states what is left of its time. Guards against an
+/// overload in which it counts like a new one: its answer is wanted as soon as was that of its
+/// first try, and it would be served late after it was passed by others that can wait.
+#[derive(Debug, Default)]
+pub(crate) struct Spans {
+    seen: Mutex<HashMap<(Name, Name), Longest>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Longest {
+    start: Time,
+    span: Duration,
+    before: Duration,
+}
+
+impl Spans {
+    /// Returns for how long a caller that states `asked` has probably been waiting.
+    pub(super) fn waited(
+        &self,
+        now: Time,
+        service: &Name,
+        class: &Name,
+        asked: Duration,
+    ) -> Duration {
+        let place = (Arc::clone(service), Arc::clone(class));
+        let mut seen = self.seen.lock();
+        if seen.len() > MOST {
+            seen.clear();
+        }
+        let fresh = Longest { start: now, span: asked, before: Duration::ZERO };
+        let longest = seen.entry(place).or_insert(fresh);
+        if now.since(longest.start) >= WINDOW {
+            *longest = Longest { start: now, span: asked, before: longest.span };
+        }
+        longest.span = longest.span.max(asked);
+        longest.span.max(longest.before).saturating_sub(asked)
+    }
+}
+
+#[cfg(test)]
+mod tests;
