--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -30,7 +30,7 @@
 use crate::gauges;
 use crate::handler::PeerHandler;
 use crate::heartbeat::Heartbeats;
-use crate::metrics::{Metrics, MetricsError};
+use crate::metrics::{Metrics, MetricsError, MetricsSite};
 use crate::outbox::Outbox;
 use crate::peer::{PeerError, Transport};
 use crate::ration::Ration;
@@ -38,6 +38,7 @@
 use crate::recent::Recent;
 use crate::router::{Budgets, Lingerers, Outages, Router, Shares, Spans, Suspects};
 use crate::view::Shared;
+use crate::web::{self, WebError};
 
 /// One in this many requests in hand may wait for a takeover.
 const LINGERERS: usize = 4;
@@ -63,6 +64,12 @@
         /// Cause.
         source: PeerError,
     },
+    /// The page of the metrics cannot be served.
+    #[snafu(display("cannot serve the metrics"))]
+    Page {
+        /// Cause.
+        source: WebError,
+    },
     /// A listener cannot start.
     #[snafu(display("cannot open the listeners"))]
     Edge {
@@ -77,6 +84,8 @@
     control: JoinHandle<()>,
     doors: Box<dyn Doors>,
     transport: Transport,
+    /// Page of the metrics; ends with the daemon.
+    _page: Option<web::Server>,
 }
 
 impl Daemon {
@@ -101,6 +110,8 @@
         metrics: Metrics,
         edges: &dyn Edges,
     ) -> Result<Self, StartError> {
+        let address = settings.listen.metrics;
+        let metrics = if address.is_some() { metrics.readable() } else { metrics };
         let decoder = edges.decoder();
         let shared = Arc::new(Shared::new(decoder.is_some()));
         let recent = Arc::new(Recent::default());
@@ -111,6 +122,11 @@
         let transport =
             Transport::metered(options::peer_settings(settings), late.clone(), metrics.clone())
                 .context(PeerSnafu)?;
+        let page = address.map(|address| {
+            let site = Arc::new(MetricsSite(metrics.clone()));
+            web::Server::start(transport.runtime(), address, site)
+        });
+        let page = page.transpose().context(PageSnafu)?;
         let log = edges.log(transport.runtime());
         let outbox = Outbox::new(&transport);
         let gate = Arc::new(Gate::new(
@@ -195,7 +211,7 @@
         reader::start(log, wait, relay::read_relay(&shared, &transport), wanted, events.clone());
         let control = Control::start(parts, inbox);
         info!(http = %doors.callers(), peer = %transport.local_addr(), admin = %doors.admin(), "started");
-        Ok(Self { events, control, doors, transport })
+        Ok(Self { events, control, doors, transport, _page: page })
     }
 
     /// Returns the address for callers.
--- a/acaciaringd/src/metrics.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -1,4 +1,7 @@
-//! Metrics, sent to a statsd server over UDP.
+//! Metrics: sent to a statsd server over UDP, kept to be read as text, or both.
+
+mod kept;
+mod page;
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
@@ -7,11 +10,12 @@
 use std::time::Duration;
 
 use cadence::{
-    BufferedUdpMetricSink, Counted, Gauged, MetricError, NopMetricSink, QueuingMetricSink,
-    StatsdClient, Timed,
+    BufferedUdpMetricSink, Counted, Gauged, MetricError, QueuingMetricSink, StatsdClient, Timed,
 };
 use snafu::{ResultExt, Snafu};
 
+use self::kept::Kept;
+pub(crate) use self::page::MetricsSite;
 use crate::config::Metrics as MetricsSettings;
 
 /// Declares a closed set of metrics with name and unit, so that no list of them can lack one.
@@ -35,6 +39,12 @@
                 }
             }
 
+            /// Returns the place among all of this type.
+            #[must_use]
+            pub const fn index(self) -> usize {
+                self as usize
+            }
+
             /// Returns the unit.
             #[must_use]
             pub const fn unit(self) -> &'static str {
@@ -157,10 +167,13 @@
     },
 }
 
-/// Sender of metrics; a metric that cannot be sent is dropped and never blocks.
+/// Takes in metrics; one that cannot be sent is dropped and never blocks.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    client: Arc<StatsdClient>,
+    /// Sender to a server, if there is one.
+    client: Option<Arc<StatsdClient>>,
+    /// What is read as text, if anybody may.
+    kept: Option<Arc<Kept>>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -176,35 +189,50 @@
         let sink = BufferedUdpMetricSink::from(address, socket).context(SinkSnafu { address })?;
         let queue = usize::try_from(settings.queue).unwrap_or(usize::MAX);
         let sink = QueuingMetricSink::with_capacity(sink, queue);
-        Ok(Self::of(StatsdClient::from_sink(&settings.prefix, sink)))
+        let client = Arc::new(StatsdClient::from_sink(&settings.prefix, sink));
+        Ok(Self { client: Some(client), ..Self::none() })
     }
 
-    /// Returns a sender that sends nothing.
+    /// Returns metrics that go nowhere.
     #[must_use]
     pub fn none() -> Self {
-        Self::of(StatsdClient::from_sink("", NopMetricSink))
+        Self { client: None, kept: None, dropped: Arc::default() }
+    }
+
+    /// Keeps metrics from now on so that they can be read as text.
+    #[must_use]
+    pub fn readable(self) -> Self {
+        Self { kept: Some(Arc::default()), ..self }
     }
 
-    fn of(client: StatsdClient) -> Self {
-        Self { client: Arc::new(client), dropped: Arc::default() }
+    /// Returns what is kept as text, empty when nothing is.
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.kept.as_ref().map(|kept| kept.text()).unwrap_or_default()
     }
 
     /// Counts `count` more.
     pub fn count(&self, counter: Counter, count: u64) {
-        let outcome = self.client.count(counter.name(), count);
-        self.note(outcome.is_ok());
+        if let Some(kept) = &self.kept {
+            kept.count(counter, count);
+        }
+        self.send(|client| client.count(counter.name(), count).is_ok());
     }
 
-    /// Sends the present value.
+    /// Takes in the present value.
     pub fn gauge(&self, gauge: Gauge, value: u64) {
-        let outcome = self.client.gauge(gauge.name(), value);
-        self.note(outcome.is_ok());
+        if let Some(kept) = &self.kept {
+            kept.gauge(gauge, value);
+        }
+        self.send(|client| client.gauge(gauge.name(), value).is_ok());
     }
 
-    /// Sends a time, in whole milliseconds.
+    /// Takes in a time; what is sent has whole milliseconds.
     pub fn time(&self, timer: Timer, time: Duration) {
-        let outcome = self.client.time(timer.name(), time);
-        self.note(outcome.is_ok());
+        if let Some(kept) = &self.kept {
+            kept.time(timer, time);
+        }
+        self.send(|client| client.time(timer.name(), time).is_ok());
     }
 
     /// Sends what is buffered, and the count of metrics that were dropped; due once a second.
@@ -213,12 +241,14 @@
         if dropped > 0 {
             self.count(Counter::MetricsDropped, dropped);
         }
-        // The server may be down; the next flush tries again.
-        let _ = self.client.flush();
+        if let Some(client) = &self.client {
+            // The server may be down; the next flush tries again.
+            let _ = client.flush();
+        }
     }
 
-    fn note(&self, sent: bool) {
-        if !sent {
+    fn send(&self, send: impl FnOnce(&StatsdClient) -> bool) {
+        if self.client.as_ref().is_some_and(|client| !send(client)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/acaciaringd/tests/metrics.rs
+++ b/acaciaringd/tests/metrics.rs
@@ -73,3 +73,34 @@
     metrics.count(Counter::LeaseLost, 1);
     metrics.flush();
 }
+
+// The on-call has nothing but the page. Counts add up, a gauge has its last value, and times come as
+// quantiles with their sum and count, each under a name that collectors accept.
+#[test]
+fn what_is_kept_is_read_as_text() {
+    let metrics = Metrics::none().readable();
+    metrics.count(Counter::RequestsNotRun, 2);
+    metrics.count(Counter::RequestsNotRun, 3);
+    metrics.gauge(Gauge::UpstreamBusy, 9);
+    metrics.gauge(Gauge::UpstreamBusy, 4);
+    for millis in [10, 10, 10, 500] {
+        metrics.time(Timer::Queue, Duration::from_millis(millis));
+    }
+    // Beyond what is told apart: it counts as the longest, and nothing fails.
+    metrics.time(Timer::Peer, Duration::from_hours(1));
+    let text = metrics.text();
+    let line = |line: &str| assert!(text.lines().any(|l| l == line), "no {line} in\n{text}");
+    line("# TYPE acaciaring_requests_not_run_total counter");
+    line("acaciaring_requests_not_run_total 5");
+    line("acaciaring_upstream_busy 4");
+    line("acaciaring_queue_time_seconds_count 4");
+    line("acaciaring_queue_time_seconds_sum 0.53");
+    line("acaciaring_peer_time_seconds_count 1");
+    let median = text
+        .lines()
+        .find_map(|l| l.strip_prefix("acaciaring_queue_time_seconds{quantile=\"0.5\"} "));
+    let median: f64 = median.expect("a median").parse().expect("a number");
+    assert!((0.0099..0.0102).contains(&median), "{median}");
+    let valid = |l: &str| l.starts_with('#') || l.split_whitespace().count() == 2;
+    assert!(text.lines().all(valid), "{text}");
+}
