Take a request's delay on its way off the time that is left of it

A request carries its sender's steady clock. The receiver knows the smallest difference to its own from the messages of the last half to full minute, and takes off how far a message lies above it.

Ruled out: the time of day, which jumps; half of the measured round trip, which says nothing of the one message that was sent again.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod heat;
 pub mod holds;
 mod id;
+pub mod lag;
 pub mod lease;
 pub mod retry;
 pub mod rights;
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -9,6 +9,7 @@
 
 use acaciaring_schema::peer::{Answer, Call, Fetch, FetchReply, Reply, Request, call, reply};
 
+use crate::clock;
 use crate::metrics::Counter;
 use crate::peer::exchange::{self, Sent, abandon, ask, cancel, probe, watched};
 use crate::peer::frame::{self, FrameError, FrameReader};
@@ -45,6 +46,8 @@
     let deadline = Instant::now() + left;
     let attempt = request.attempt;
     request.left = exchange::millis(left);
+    let clock = clock::now().since_start().as_micros();
+    request.clock = u64::try_from(clock).unwrap_or(0);
     let call = Call { body: Some(call::Body::Request(request)) };
     let frame = match frame::encode(&call, shared.settings.limit) {
         Ok(frame) => frame,
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod exchange;
 mod frame;
+mod lags;
 mod lanes;
 mod link;
 mod pool;
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -12,7 +12,8 @@
 use tracing::{debug, error, warn};
 
 use acaciaring_schema::peer::{
-    Answer, Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, call, reply,
+    Answer, Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, Request,
+    call, reply,
 };
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
@@ -56,11 +57,12 @@
     let id = link.id;
     let conn = link.conn.clone();
     let heard = link.heard.clone();
+    let process = link.process;
     drop(link);
     shared.registry.open(id, conn.clone());
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        let reason = connection(&shared, &conn, &heard).await;
+        let reason = connection(&shared, &conn, process, &heard).await;
         debug!(%peer, %reason, "connection ended");
         shared.registry.close(id);
         shared.pool.forget(peer, id, &reason);
@@ -68,12 +70,17 @@
 }
 
 /// Takes in streams and datagrams until the connection ends.
-async fn connection(shared: &Arc<Shared>, conn: &Connection, heard: &Heard) -> ConnectionError {
+async fn connection(
+    shared: &Arc<Shared>,
+    conn: &Connection,
+    process: u64,
+    heard: &Heard,
+) -> ConnectionError {
     let from = conn.remote_address();
     loop {
         let received = tokio::select! {
             stream = conn.accept_bi() => stream.map(|(send, recv)| {
-                tokio::spawn(stream_task(Arc::clone(shared), from, send, recv));
+                tokio::spawn(stream_task(Arc::clone(shared), (from, process), send, recv));
             }),
             datagram = conn.read_datagram() => datagram.map(|bytes| {
                 take_datagram(shared, from, bytes);
@@ -96,7 +103,7 @@
 /// Answers the call on one stream.
 async fn stream_task(
     shared: Arc<Shared>,
-    from: SocketAddr,
+    (from, process): (SocketAddr, u64),
     mut send: SendStream,
     recv: RecvStream,
 ) {
@@ -116,7 +123,11 @@
         }
     };
     match body {
-        call::Body::Request(request) => serve_request(&shared, request, &mut send).await,
+        call::Body::Request(mut request) => {
+            let delay = shared.lags.delay(process, request.clock);
+            late(&mut request, delay);
+            serve_request(&shared, request, &mut send).await;
+        }
         call::Body::Probe(Probe { attempt }) => {
             let arrived = shared.table.probe(attempt);
             write_last(&shared, &mut send, reply::Body::Probe(ProbeReply { arrived })).await;
@@ -133,6 +144,18 @@
     }
 }
 
+/// Takes the time for which a request was held up on its way off what is left of it.
+///
+/// Guards against a hop over a link that loses packets, or to a member without processor: the
+/// request would have all of its time anew, and could reach a server long after its caller left.
+fn late(request: &mut Request, delay: Duration) {
+    let delay = u32::try_from(delay.as_millis()).unwrap_or(u32::MAX);
+    request.left = request.left.saturating_sub(delay);
+    if request.aim > 0 {
+        request.aim = request.aim.saturating_sub(delay).max(1);
+    }
+}
+
 /// Runs a call and writes the reply.
 async fn serve_call(shared: &Arc<Shared>, body: call::Body, send: &mut SendStream) {
     let handler = Arc::clone(&shared.handler);
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -22,6 +22,7 @@
 use crate::peer::error::{BindSnafu, CallError, ConnectError, PeerError, ThreadsSnafu};
 use crate::peer::exchange;
 use crate::peer::frame::Code;
+use crate::peer::lags::Lags;
 use crate::peer::lanes::Lanes;
 use crate::peer::link::LinkId;
 use crate::peer::pool::Pool;
@@ -70,6 +71,7 @@
     pub pool: Pool,
     pub table: Table,
     pub lanes: Lanes,
+    pub lags: Lags,
     pub registry: Registry,
     pub metrics: Metrics,
     links: AtomicU64,
@@ -143,6 +145,7 @@
             pool: Pool::default(),
             table: Table::default(),
             lanes,
+            lags: Lags::default(),
             registry: Registry::default(),
             metrics,
             links: AtomicU64::new(0),
