Count what is read as having waited for as long as the process is late

Twenty times a second the threads for traffic see how late a timer is. What is read counts as having waited that long; what has waited for more than half of the time in which it would be in time is refused, with when to come back. Critical requests go on.

Ruled out: a bound on requests in hand, which a machine with a seventh of its speed reaches only after seconds.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -33,6 +33,7 @@
 use crate::metrics::{Metrics, MetricsError, MetricsSite};
 use crate::outbox::Outbox;
 use crate::peer::{PeerError, Transport};
+use crate::pulse::Pulse;
 use crate::ration::Ration;
 use crate::reader;
 use crate::recent::Recent;
@@ -164,6 +165,7 @@
             spans: Spans::default(),
             declarations: Arc::clone(&declarations),
             lines: Ration::new(LINES),
+            pulse: Pulse::start(transport.runtime()),
         };
         let admin = MemberAdmin {
             events: events.clone(),
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -20,6 +20,7 @@
 mod outbox;
 pub mod peer;
 pub mod platform;
+mod pulse;
 mod ration;
 mod reader;
 mod recent;
--- /dev/null
+++ b/acaciaringd/src/pulse.rs
@@ -0,0 +1,58 @@
+//! How late this process is, by its own timers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use tokio::time::sleep;
+
+use crate::clock;
+
+/// Time between two looks; twenty wake-ups a second cost less than a thousandth of a core.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Lateness that is usual for a timer and says nothing.
+const USUAL: Duration = Duration::from_millis(5);
+
+/// Lateness of the threads for traffic.
+///
+/// Guards against a machine that has turned slow: requests wait in its sockets until it reads
+/// them, and each seems to have just come. Served in turn all would be late; the lateness tells
+/// for how long they have waited, so that what cannot be in time is refused for little.
+#[derive(Debug, Default)]
+pub(crate) struct Pulse {
+    /// Microseconds.
+    lag: AtomicU64,
+}
+
+impl Pulse {
+    /// Starts to look on the threads of a runtime, for as long as it runs.
+    pub(crate) fn start(runtime: &Handle) -> Arc<Self> {
+        let pulse = Arc::new(Self::default());
+        let own = Arc::clone(&pulse);
+        runtime.spawn(async move {
+            loop {
+                let start = clock::now();
+                sleep(TICK).await;
+                own.note(clock::now().since(start).saturating_sub(TICK + USUAL));
+            }
+        });
+        pulse
+    }
+
+    /// Takes in how late a timer was; what was seen before counts half.
+    fn note(&self, late: Duration) {
+        let late = u64::try_from(late.as_micros()).unwrap_or(u64::MAX);
+        let before = self.lag.load(Ordering::Relaxed);
+        self.lag.store(late.max(before / 2), Ordering::Relaxed);
+    }
+
+    /// Returns for how long what is read now has probably waited.
+    pub(crate) fn lag(&self) -> Duration {
+        Duration::from_micros(self.lag.load(Ordering::Relaxed))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -35,6 +35,7 @@
 use crate::gate::Gate;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::peer::{CancelFlag, RequestOutcome, Transport};
+use crate::pulse::Pulse;
 use crate::ration::Ration;
 use crate::view::{Shared, View};
 use crate::wire;
@@ -66,6 +67,8 @@
     pub(crate) declarations: Arc<Declarations>,
     /// Bound on the lines about requests without an answer.
     pub(crate) lines: Ration,
+    /// How late this process is.
+    pub(crate) pulse: Arc<Pulse>,
 }
 
 /// What is known of a caller's request before it is sent on.
@@ -170,7 +173,10 @@
         self.metrics.count(counter, 1);
     }
 
-    fn plan(&self, request: EntryRequest) -> Result<Plan, EntryAnswer> {
+    fn plan(&self, mut request: EntryRequest) -> Result<Plan, EntryAnswer> {
+        let lag = self.pulse.lag();
+        let read = request.received.since_start();
+        request.received = Time::from_start(read.saturating_sub(lag));
         let view = self.shared.view();
         self.check_lease()?;
         let route = view.routes.find(request.host.as_deref(), &request.path);
@@ -181,6 +187,7 @@
             return Err(EntryAnswer::refusal_with(refusal, TOO_LARGE));
         }
         let class = route.class(&request.method, &request.path).clone();
+        in_time(&class, lag)?;
         let key = find_key(&route, &request)?;
         let id = match &request.key {
             Some(text) => RequestId::from_key(&route.workspace, key, text),
@@ -301,6 +308,16 @@
     }
 }
 
+/// Refuses a request that has waited for so long before it was read that it would hardly be in time.
+fn in_time(class: &Class, lag: Duration) -> Result<(), Refusal> {
+    let hopeless = |target: Duration| lag > target / 2;
+    if class.rank == Rank::Critical || !class.target.is_some_and(hopeless) {
+        return Ok(());
+    }
+    // Refused together, they would return together.
+    Err(Refusal::not_run(Reason::Busy).after(lag.mul_f64(rand::rng().random_range(1.0..2.0))))
+}
+
 /// Returns true when an upstream has seen a try, or may have.
 fn arrived(refusal: Refusal) -> bool {
     refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed
