--- a/acaciaring_core/tests/retry.rs
+++ b/acaciaring_core/tests/retry.rs
@@ -89,3 +89,21 @@
     // The share, what was saved up, and the least rate over ten seconds.
     assert!((1_000..=1_000 + 20 + 10).contains(&retries), "{retries} retries");
 }
+
+// One member of a pooled service is full and says so; no server has seen the request. The budget that
+// all members share is used up, and another member has room: it is asked once all the same. A server
+// that turned the request away itself is another matter, and so is a service that is full as a whole.
+#[test]
+fn a_full_member_leads_to_another_one_without_budget() {
+    let settings = RetrySettings { burst: 0.0, least: 0.0, ..RetrySettings::default() };
+    let mut budget = RetryBudget::new(Time::ZERO, settings);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut decide = |failure: &Failure| budget.next(Time::ZERO, &mut rng, failure);
+    let full = failure(Refusal::not_run(Reason::Busy));
+    let full = Failure { redirects: 1, arrived: false, elsewhere: true, ..full };
+    assert_eq!(decide(&full), RetryDecision::Retry { after: Duration::ZERO });
+    assert_eq!(decide(&Failure { redirects: 2, tries: 2, ..full }), RetryDecision::GiveUp);
+    assert_eq!(decide(&Failure { elsewhere: false, ..full }), RetryDecision::GiveUp);
+    let shed = Failure { refusal: Refusal::not_run(Reason::Shed), arrived: true, ..full };
+    assert_eq!(decide(&shed), RetryDecision::GiveUp);
+}
