Correct what pages and comments say without a run that shows it

Cause: reading the whole change again.

Counts of lines are called lines, for each member writes a bounded number a second.

--- a/acaciaring_core/src/retry.rs
+++ b/acaciaring_core/src/retry.rs
@@ -43,7 +43,7 @@
 
 /// Members that are asked for free after the first one, when they are full.
 ///
-/// More would cost a flood of refused requests more processor time than the served ones.
+/// Each costs a hop, and in a flood most members are full.
 const BUSY_REDIRECTS: u32 = 1;
 
 /// A try that gave no answer from an upstream.
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -44,7 +44,8 @@
 /// One in this many requests in hand may wait for a takeover.
 const LINGERERS: usize = 4;
 
-/// Lines a second about requests without an answer; a processor writes that many within a few milliseconds.
+/// Lines a second about requests without an answer: enough to see reasons and members, far below the
+/// requests that a machine refuses in an overload.
 const LINES: u32 = 20;
 
 /// Longest wait for callers' requests after the hand-over.
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -22,8 +22,8 @@
 
 /// Interval at which the other ones see whether one of them looks, or their own time is over.
 ///
-/// Guards against a flood in which each waiting request looks through all others fifty times a
-/// second: with 128 of them that took more processor time than the requests themselves.
+/// Guards against a flood in which each waiting request wakes up fifty times a second to look
+/// through all others, so that the work grows with the square of their number.
 const TURN: Duration = Duration::from_millis(250);
 
 type Decision = Result<(), Refusal>;
--- a/acaciaringd/src/peer/threads.rs
+++ b/acaciaringd/src/peer/threads.rs
@@ -21,8 +21,8 @@
 impl Threads {
     /// Starts this many threads.
     ///
-    /// A single one has a scheduler of its own, which shares nothing: a request over a hop costs
-    /// a tenth less processor time than with one worker of the scheduler for several threads.
+    /// A single one has a scheduler of its own, which shares nothing with others. What that saves
+    /// was not measured by itself.
     ///
     /// # Errors
     ///
--- a/acaciaringd/src/pulse.rs
+++ b/acaciaringd/src/pulse.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 
-/// Time between two looks; twenty wake-ups a second cost less than a thousandth of a core.
+/// Time between two looks: well below the times within which answers are wanted, at twenty wake-ups a second.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Lateness that is usual for a timer and says nothing.
