Let a member that stops stay while it vouches for others

The member now proposes its Exit only once no grant to a member that stays runs, bounded by limits.drain as before. One whose upstream has left does not wait, since its next identity serves the next upstream.

Ruled out: waiting for the log's word only; the recorded set says nothing of the old one that a holder still needs.

--- a/acaciaring_core/src/lease/lessor.rs
+++ b/acaciaring_core/src/lease/lessor.rs
@@ -136,6 +136,19 @@
         live.filter_map(|(id, record)| Some(Vote { member: *id, version: record.voted? }))
     }
 
+    /// Returns true while a grant to a holder that `counts` runs.
+    ///
+    /// Guards against a lease that is lost because two lessors end together: one leaves by plan
+    /// while its holders still exchange it, another crashes in that moment, and the old set makes
+    /// no majority any more. The holders were without lease until they gave up their identities.
+    /// A member that stays until its last grant has run out has been exchanged by then.
+    pub fn vouches(&self, now: Time, counts: impl Fn(MemberId) -> bool) -> bool {
+        let runs = |(holder, record): (&MemberId, &Record)| {
+            !record.dead && now < record.ends && counts(*holder)
+        };
+        self.records.iter().any(runs)
+    }
+
     /// Grants nothing any more: this identity is given up.
     pub fn stop(&mut self) {
         self.stopped = true;
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -257,6 +257,24 @@
     assert!(!lessor.renew(ms(60_001), H, 10, false).granted);
 }
 
+// A VM is stopped by plan while another one crashes. Both were lessors of a third member, which had
+// exchanged neither; had the stopped one ended at once, the member would have had no majority. It
+// stays until its last grant to a member that stays has run out; who is dead or leaves does not count.
+#[test]
+fn a_leaving_lessor_stays_while_its_grants_run() {
+    let mut lessor = lessor(B);
+    assert!(!lessor.vouches(ms(0), |_| true), "it has granted nothing");
+    lessor.renew(ms(0), A, 5, false);
+    lessor.renew(ms(200), C, 6, false);
+    let term = settings().term;
+    assert!(lessor.vouches(ms(0) + term, |_| true));
+    assert!(!lessor.vouches(ms(0) + term, |id| id == A), "the grant to A has run out");
+    assert!(!lessor.vouches(ms(0), |id| id != A && id != C), "neither holder stays");
+    lessor.forget(C);
+    assert!(lessor.vouches(ms(200), |_| true), "the grant to A runs");
+    assert!(!lessor.vouches(ms(0) + term, |_| true), "C is dead");
+}
+
 // An evicted holder lags behind the log and asks on. A lessor that has folded
 // the eviction must not take it for a new holder.
 #[test]
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use acaciaring_core::state::{Attachment, Phase};
+use acaciaring_core::state::{Attachment, Member, Phase};
 use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Exit, Leave, record};
 use tracing::{info, warn};
@@ -84,8 +84,8 @@
             }
             Some(Phase::Alive) if retiring == Retiring::Lease => self.exit(now),
             Some(Phase::Alive) => self.leave(now),
-            Some(Phase::Leaving) if self.all_released() && !self.holds_any(now) => self.exit(now),
-            Some(Phase::Leaving) => {}
+            Some(Phase::Leaving) if self.releasing(now) || self.vouching(now) => {}
+            Some(Phase::Leaving) => self.exit(now),
             Some(Phase::Dead) | None => self.end_identity(),
         }
     }
@@ -170,6 +170,20 @@
         self.submit(proposal, body);
     }
 
+    /// Returns true while something is in flight or held that this member has not passed on.
+    fn releasing(&self, now: Time) -> bool {
+        !self.all_released() || self.holds_any(now)
+    }
+
+    /// Returns true while a process that is told to stop still vouches for a member that stays.
+    ///
+    /// One whose upstream has left does not wait: its next identity serves the next upstream.
+    fn vouching(&self, now: Time) -> bool {
+        let Some(identity) = &self.identity else { return false };
+        let stays = |id| self.state.member(id).is_some_and(Member::alive);
+        identity.retiring == Some(Retiring::Stop) && identity.lessor.vouches(now, stays)
+    }
+
     /// Proposes `Exit`: nothing is served or granted under this identity any more.
     fn exit(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
--- a/acaciaringd/tests/slow_upstream.rs
+++ b/acaciaringd/tests/slow_upstream.rs
@@ -70,13 +70,18 @@
     let mut load = stream(&cluster, "query", "/contracts/query/{key}", 200.0, 91);
     load.duration = 10_000;
     let load = thread::spawn(move || run_all(&[load]).remove(0));
-    let fewer = || owned(&cluster, 1) * 4 < before * 3;
-    let moved = wait_until("units move away", MOVED, || fewer() || load.is_finished());
-    let left = owned(&cluster, 1);
+    let fewer = |left: u64| left * 4 < before * 3;
+    let mut least = before;
+    let moved = wait_until("units move away", MOVED, || {
+        least = least.min(owned(&cluster, 1));
+        fewer(least) || load.is_finished()
+    });
     let figures = load.join().expect("the load ends");
-    println!("owned {before}, {left}, then {}; {:?}", owned(&cluster, 1), figures.classes);
+    let left = owned(&cluster, 1);
+    println!("owned {before}, {least}, then {left}; {:?}", figures.classes);
     moved.expect("the owner gives units away");
-    assert!(left * 4 < before * 3, "of {before} units it keeps {left}");
+    assert!(fewer(least), "of {before} units it keeps {least}");
+    assert!(fewer(left), "of {before} units it has {left} once the load has ended");
     let report = check_records(&cluster.runs(), &figures.sent);
     assert!(report.clean(), "{report:#?}");
 }
