Never let an exchange of lessors end a lease earlier than it was

Cause: a set of lessors that were asked beforehand was proposed as soon as it left the lease for one interval (0.7 s here). From then on the lease ends by the new set, up to two seconds earlier than before; but an upstream that holds units by grant was told to hold them until the former end. If the member then fails to renew (no processor time), the votes of the new lessors prove its lease over, and the units pass to another upstream while this one still holds them.

Ruled out on paper: release by the former owner without its upstream's word, Exit with something held, stale memory of what was served.

Change: a set is ready only when its lease lasts at least as long as the present one; readiness is looked at with each grant too, since the moments in which the new grants are newer may fall between two rounds of duties. What is asked beforehand is forgotten when no better set is left.

Tests: a property over 512 schedules, which fails without the change (the end moved from 3.052 s to 2.902 s), and a story.

--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -164,11 +164,24 @@
         }
     }
 
-    /// Returns true when a set that is proposed now leaves the lease as long as it is usually.
+    /// Returns true when a set that is proposed now leaves the lease as long as it is.
+    ///
+    /// Guards against two servers of a unit: the upstream was told to hold it until the end of the
+    /// lease, and that cannot be taken back. If the lease ended earlier by the new set, whose
+    /// lessors were asked before the old ones, their votes could prove it over while the
+    /// upstream still holds the unit by the older word.
     #[must_use]
     pub fn ready(&self, now: Time, lessors: &[MemberId]) -> bool {
         let latest = self.latest(&LessorSet::new(None, lessors));
-        latest.is_some_and(|latest| now + self.settings.interval < latest + self.settings.usable())
+        let Some(end) = latest.map(|latest| latest + self.settings.usable()) else { return false };
+        let shorter = self.until().is_some_and(|until| end < until);
+        !shorter && now + self.settings.interval < end
+    }
+
+    /// Returns true while lessors are asked that are to be proposed.
+    #[must_use]
+    pub fn preparing(&self) -> bool {
+        !self.prepared.is_empty()
     }
 
     /// Returns the lessors that have answered none of several renewals, or refuse.
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -340,6 +340,29 @@
     assert!(!holder.ready(ms(1600), &[C, D]));
 }
 
+// An upstream was told to hold a unit until the lease ends, three of its lessors' grants long. New
+// lessors have granted too, to renewals that were sent before. Were they proposed now, the lease would
+// end earlier, and their votes could give the unit to another upstream while this one still holds it.
+#[test]
+fn lessors_whose_grants_are_older_are_not_proposed_yet() {
+    let mut holder = holder(&[A, B]);
+    holder.prepare(&[C, D]);
+    renew(&mut holder, ms(100), &[A, B, C, D], 10);
+    assert!(holder.ready(ms(110), &[C, D]), "as long as the present ones");
+    let renewals = holder.due(ms(500));
+    for lessor in [A, B] {
+        holder.granted(ms(510), lessor, seq_to(&renewals, lessor), true, 10);
+    }
+    let until = holder.until().expect("a lease");
+    assert!(!holder.ready(ms(520), &[C, D]), "their grants end before {until:?}");
+    for lessor in [C, D] {
+        holder.granted(ms(530), lessor, seq_to(&renewals, lessor), true, 10);
+    }
+    assert!(holder.ready(ms(540), &[C, D]));
+    holder.propose(&[C, D]);
+    assert!(holder.until() >= Some(until), "what was promised stands");
+}
+
 // All VMs start anew, and two do not come back. A newcomer that got them as lessors hears nothing
 // from them, while the third one answers: it is to know which ones to do without.
 #[test]
--- /dev/null
+++ b/acaciaring_core/tests/lease_promise.rs
@@ -0,0 +1,77 @@
+//! What a holder has promised until the end of its lease stands through any exchange of lessors.
+
+use std::time::Duration;
+
+use acaciaring_core::lease::{Holder, LeaseSettings};
+use acaciaring_core::{MemberId, Time};
+use proptest::prelude::*;
+
+/// Members of which the sets are made.
+const LESSORS: u64 = 6;
+
+/// One step of a schedule.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time passes, and the renewals that are due are granted by some lessors.
+    Renew { millis: u64, grants: [bool; LESSORS as usize] },
+    /// Three lessors, counted from one of them, are proposed if they are ready, else asked.
+    Exchange { first: u64 },
+    /// What is proposed is read back.
+    ReadBack,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let renew = (1_u64..1200, any::<[bool; LESSORS as usize]>())
+        .prop_map(|(millis, grants)| Step::Renew { millis, grants });
+    let exchange = (0..LESSORS).prop_map(|first| Step::Exchange { first });
+    prop_oneof![4 => renew, 2 => exchange, 1 => Just(Step::ReadBack)]
+}
+
+fn set(first: u64) -> Vec<MemberId> {
+    let mut set: Vec<_> = (0..3).map(|n| MemberId((first + n) % LESSORS + 1)).collect();
+    set.sort_unstable();
+    set
+}
+
+// Upstreams hold units until the end of the lease as it was when they reported. Whatever the order of
+// grants and exchanges, the end never moves back while the lease holds.
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, ..ProptestConfig::default() })]
+    #[test]
+    fn the_end_of_a_held_lease_never_moves_back(steps in prop::collection::vec(step(), 1..60)) {
+        let settings = LeaseSettings { term: Duration::from_secs(3), ..LeaseSettings::default() };
+        let mut holder = Holder::new(MemberId(10), Time::ZERO, settings);
+        let (mut now, mut version, mut proposed) = (Time::from_millis(1), 10, set(0));
+        holder.install(version, &proposed, |_| true);
+        let mut promised = Time::ZERO;
+        for step in steps {
+            match step {
+                Step::Renew { millis, grants } => {
+                    now = now + Duration::from_millis(millis);
+                    for renewal in holder.due(now) {
+                        let at = usize::try_from(renewal.lessor.0 - 1).expect("a small number");
+                        if grants[at] {
+                            holder.granted(now, renewal.lessor, renewal.seq, true, version);
+                        }
+                    }
+                }
+                Step::Exchange { first } if !holder.proposing() && holder.holds(now) => {
+                    proposed = set(first);
+                    if holder.ready(now, &proposed) {
+                        holder.propose(&proposed);
+                    } else {
+                        holder.prepare(&proposed);
+                    }
+                }
+                Step::ReadBack if holder.proposing() => {
+                    version += 1;
+                    holder.install(version, &proposed, |_| true);
+                }
+                Step::Exchange { .. } | Step::ReadBack => {}
+            }
+            let until = holder.until().unwrap_or(Time::ZERO);
+            prop_assert!(until >= promised || promised <= now, "{promised:?}, then {until:?}");
+            promised = promised.max(until);
+        }
+    }
+}
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -138,7 +138,13 @@
         }
         let lessor = MemberId(grant.lessor);
         identity.holder.granted(now, lessor, grant.seq, grant.granted, grant.version);
+        // New lessors are ready while their grants are newer than those of the present ones,
+        // which the next round of duties may miss each time.
+        let preparing = identity.holder.preparing() && identity.retiring.is_none();
         self.publish_lease(now);
+        if preparing {
+            self.improve_lessors(now);
+        }
     }
 
     /// Keeps holder, lessor and tally in step with the folded members.
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -98,7 +98,7 @@
     /// nothing leaves out those that do not answer. Guards against a start of all members in which
     /// some VMs end for good: a newcomer whose lessors they were would wait until they are
     /// evicted, and its upstream would have no keys as long.
-    fn improve_lessors(&mut self, now: Time) {
+    pub(super) fn improve_lessors(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
         let Some(member) = self.state.member(identity.me) else { return };
         if self.proposals.pending(&Purpose::Lessors) {
@@ -107,7 +107,9 @@
         let holds = identity.holder.holds(now);
         let choosy = !holds && idle(&self.state, identity.me);
         let silent = if choosy { identity.holder.silent() } else { Vec::new() };
-        let Some(lessors) = self.state.better_lessors_but(member, &silent) else { return };
+        let Some(lessors) = self.state.better_lessors_but(member, &silent) else {
+            return identity.holder.prepare(&[]);
+        };
         if holds && !identity.holder.ready(now, &lessors) {
             identity.holder.prepare(&lessors);
             return;
