Ask a sender whether it still waits before a request that was held up runs

Cause: a process without processor time reads a request long after it came, and the cancellation of a caller who has left waits behind it in the same socket. The request was run, and its server worked for nobody.

Change: a request that was under way for 250 ms more than the fastest lately is run once its sender has answered a test on the same connection, within the usual time for one. What the sender says now waits behind the cancellation. Without an answer it is refused as busy, not run, and another member may take it. Two counters tell both cases.

Ruled out: refusing all that were held up, since a link that loses packets delays them as well, and their callers wait.

--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -85,6 +85,10 @@
         PeerProbes = "peer.probes", "probes";
         /// Probes after which the request was known as not run.
         PeerProbesNotRun = "peer.probes_not_run", "probes";
+        /// Requests held up on their way whose senders still waited.
+        PeerHeldUp = "peer.held_up", "requests";
+        /// Requests held up on their way that were refused, for their senders did not answer in time.
+        PeerHeldUpRefused = "peer.held_up_refused", "requests";
         /// Times that this member lost its lease.
         LeaseLost = "lease.lost", "times";
         /// Votes of this member that a lease is over.
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -126,7 +126,7 @@
                 if self.sent.link.received() == before {
                     return self.recover().await;
                 }
-                match probe(self.shared, &self.sent.link, self.attempt).await {
+                match probe(self.shared, &self.sent.link.conn, self.attempt).await {
                     Some(true) => self.arrived = true,
                     Some(false) => return self.give_up(),
                     None => return self.recover().await,
@@ -224,7 +224,7 @@
         }
         if !self.arrived {
             self.shared.metrics.count(Counter::PeerProbes, 1);
-            self.arrived = probe(self.shared, link, self.attempt).await?;
+            self.arrived = probe(self.shared, &link.conn, self.attempt).await?;
             if !self.arrived {
                 self.shared.metrics.count(Counter::PeerProbesNotRun, 1);
                 return Some(RequestOutcome::NotDelivered);
@@ -232,7 +232,7 @@
         }
         let left = exchange::millis(self.deadline.saturating_duration_since(Instant::now()));
         let fetch = call::Body::Fetch(Fetch { attempt: self.attempt, left });
-        let fetched = ask(self.shared, link, fetch);
+        let fetched = ask(self.shared, &link.conn, fetch);
         match watched(self.shared, link, PATIENCE, fetched).await?? {
             reply::Body::Fetch(FetchReply { answer: Some(answer) }) => {
                 Some(RequestOutcome::Answer(answer))
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use quinn::SendStream;
+use quinn::{Connection, SendStream};
 use snafu::ResultExt;
 use tokio::time::{self, Instant};
 use tracing::debug;
@@ -18,7 +18,7 @@
     CallError, LostSnafu, RefusedSnafu, TooLargeSnafu, UnreachableSnafu, UnsentSnafu,
 };
 use crate::peer::frame::{self, Code, FrameReader};
-use crate::peer::link::Link;
+use crate::peer::link::{self, Link};
 use crate::peer::transport::Shared;
 
 /// Tries to deliver a cancellation; the deadline of the attempt ends its work in the end.
@@ -102,13 +102,18 @@
     if link.heard.within(FRESH) {
         return true;
     }
-    let there = probe(shared, link, NO_ATTEMPT).await.is_some();
+    let there = answers(shared, &link.conn).await;
     if there {
         link.heard.touch();
     }
     there
 }
 
+/// Returns true when the other end of a connection answers a test in time.
+pub(super) async fn answers(shared: &Shared, conn: &Connection) -> bool {
+    probe(shared, conn, NO_ATTEMPT).await.is_some()
+}
+
 /// Writes a message whole on a connection to `to`.
 ///
 /// An error means that the peer never gets the whole message.
@@ -165,16 +170,16 @@
         let alive = received.replace(seen).is_some_and(|before| before != seen);
         quiet = if alive { 0 } else { quiet + 1 };
         if quiet >= patience || link.is_retired() {
-            probe(shared, link, NO_ATTEMPT).await?;
+            probe(shared, &link.conn, NO_ATTEMPT).await?;
             quiet = 0;
         }
     }
 }
 
 /// Asks on one connection whether an attempt has arrived; `None` without a timely reply.
-pub(super) async fn probe(shared: &Shared, link: &Link, attempt: u64) -> Option<bool> {
+pub(super) async fn probe(shared: &Shared, conn: &Connection, attempt: u64) -> Option<bool> {
     let body = call::Body::Probe(Probe { attempt });
-    let reply = time::timeout(shared.settings.arrival, ask(shared, link, body)).await;
+    let reply = time::timeout(shared.settings.arrival, ask(shared, conn, body)).await;
     match reply.ok()?? {
         reply::Body::Probe(ProbeReply { arrived }) => Some(arrived),
         _ => None,
@@ -182,10 +187,14 @@
 }
 
 /// Makes a call on one connection; `None` when it breaks off.
-pub(super) async fn ask(shared: &Shared, link: &Link, body: call::Body) -> Option<reply::Body> {
+pub(super) async fn ask(
+    shared: &Shared,
+    conn: &Connection,
+    body: call::Body,
+) -> Option<reply::Body> {
     let limit = shared.settings.limit;
     let frame = frame::encode(&Call { body: Some(body) }, limit).ok()?;
-    let (mut stream, mut reader) = link.open(limit).await?;
+    let (mut stream, mut reader) = link::open(conn, limit).await?;
     stream.write_chunk(frame).await.ok()?;
     stream.finish().ok()?;
     reader.next::<Reply>().await.ok()?.body
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -94,11 +94,16 @@
 
     /// Opens a stream and returns its two halves.
     pub async fn open(&self, limit: usize) -> Option<(SendStream, FrameReader)> {
-        let (send, recv) = self.conn.open_bi().await.ok()?;
-        Some((send, FrameReader::new(recv, limit)))
+        open(&self.conn, limit).await
     }
 }
 
+/// Opens a stream on a connection and returns its two halves.
+pub(super) async fn open(conn: &Connection, limit: usize) -> Option<(SendStream, FrameReader)> {
+    let (send, recv) = conn.open_bi().await.ok()?;
+    Some((send, FrameReader::new(recv, limit)))
+}
+
 impl Drop for Link {
     /// Closes a connection that this process opened, when nobody waits on it any more.
     fn drop(&mut self) {
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -4,21 +4,30 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use quinn::SendStream;
+use quinn::{Connection, SendStream};
 use tokio::task::{JoinError, JoinHandle};
 use tracing::{Instrument, error, info_span};
 
 use acaciaring_core::attempt::Arrival;
 use acaciaring_schema::peer::{Answer, Reason, Reply, Request, Verdict, reply};
 
+use crate::metrics::Counter;
 use crate::peer::cancel::CancelFlag;
+use crate::peer::exchange::answers;
 use crate::peer::frame;
 use crate::peer::serve::{write_frame, write_last};
 use crate::peer::transport::Shared;
 use crate::trace::TraceContext;
 
 /// Takes in a request, runs it once and writes its answer.
-pub(super) async fn serve_request(shared: &Arc<Shared>, request: Request, send: &mut SendStream) {
+///
+/// `doubtful` is the connection of a request that was held up on its way.
+pub(super) async fn serve_request(
+    shared: &Arc<Shared>,
+    request: Request,
+    send: &mut SendStream,
+    doubtful: Option<Connection>,
+) {
     let attempt = request.attempt;
     let flag = match shared.table.arrive(attempt) {
         Ok(flag) => flag,
@@ -29,7 +38,7 @@
     let worker = Arc::clone(shared);
     let left = flag.clone();
     // A task of its own, for a handler that panics must answer, else the sender would wait in vain.
-    let job = tokio::spawn(run(worker, request, flag));
+    let job = tokio::spawn(run(worker, request, flag, doubtful));
     let answer = wait(job, send, &left).await.unwrap_or_else(|error| {
         error!(attempt, %error, "handler of a request panicked");
         lost_answer()
@@ -61,8 +70,18 @@
 }
 
 /// Runs a request when it is its turn, unless it is cancelled or late by then.
-async fn run(shared: Arc<Shared>, mut request: Request, flag: CancelFlag) -> Answer {
+async fn run(
+    shared: Arc<Shared>,
+    mut request: Request,
+    flag: CancelFlag,
+    doubtful: Option<Connection>,
+) -> Answer {
     let arrival = Instant::now();
+    if let Some(conn) = doubtful
+        && !wanted(&shared, &conn).await
+    {
+        return not_run(Reason::Busy);
+    }
     // The sender cancels what it gives up. An answer at the end of its time would cross with that,
     // and whether the sender hears it or its own time-out first would be chance.
     let turn = tokio::select! {
@@ -90,6 +109,19 @@
     shared.handler.request(request, &flag).instrument(span).await
 }
 
+/// Returns true when the sender of a request that was held up says that it still waits.
+///
+/// Guards against work for callers that have left: where packets wait for a process without
+/// processor, the request is read long before the cancellation that waits behind it. What the
+/// sender answers now waits behind both, so a cancellation that was sent has been read by then;
+/// and without a timely answer this process is still late, and the request is better elsewhere.
+async fn wanted(shared: &Shared, conn: &Connection) -> bool {
+    let wanted = answers(shared, conn).await;
+    let counter = if wanted { Counter::PeerHeldUp } else { Counter::PeerHeldUpRefused };
+    shared.metrics.count(counter, 1);
+    wanted
+}
+
 /// Records the answer of an attempt and returns its frame.
 fn finish(shared: &Shared, attempt: u64, answer: Answer) -> Bytes {
     let body = reply::Body::Answer(answer);
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -23,6 +23,11 @@
 use crate::peer::table;
 use crate::peer::transport::Shared;
 
+/// Delay on the way from which a request is run only once its sender has answered a test.
+///
+/// Half of the half second within which work for a caller that has left has to end.
+const HELD_UP: Duration = Duration::from_millis(250);
+
 /// Accepts connections until the endpoint is closed.
 pub(super) async fn accept(shared: Arc<Shared>) {
     while let Some(incoming) = shared.endpoint.accept().await {
@@ -80,7 +85,8 @@
     loop {
         let received = tokio::select! {
             stream = conn.accept_bi() => stream.map(|(send, recv)| {
-                tokio::spawn(stream_task(Arc::clone(shared), (from, process), send, recv));
+                let sender = Sender { address: from, process, conn: conn.clone() };
+                tokio::spawn(stream_task(Arc::clone(shared), sender, send, recv));
             }),
             datagram = conn.read_datagram() => datagram.map(|bytes| {
                 take_datagram(shared, from, bytes);
@@ -100,13 +106,17 @@
     }
 }
 
+/// Who has opened a stream, and on which connection.
+struct Sender {
+    address: SocketAddr,
+    /// Random number of its process start.
+    process: u64,
+    conn: Connection,
+}
+
 /// Answers the call on one stream.
-async fn stream_task(
-    shared: Arc<Shared>,
-    (from, process): (SocketAddr, u64),
-    mut send: SendStream,
-    recv: RecvStream,
-) {
+async fn stream_task(shared: Arc<Shared>, sender: Sender, mut send: SendStream, recv: RecvStream) {
+    let Sender { address: from, process, conn } = sender;
     let mut reader = FrameReader::new(recv, shared.settings.limit);
     let call = reader.next::<Call>().await;
     let body = call.and_then(|call| call.body.ok_or(FrameError::Unknown));
@@ -126,7 +136,8 @@
         call::Body::Request(mut request) => {
             let delay = shared.lags.delay(process, request.clock);
             late(&mut request, delay);
-            serve_request(&shared, request, &mut send).await;
+            let doubtful = (delay >= HELD_UP).then_some(conn);
+            serve_request(&shared, request, &mut send, doubtful).await;
         }
         call::Body::Probe(Probe { attempt }) => {
             let arrived = shared.table.probe(attempt);
