Let a leaving member pass on what it serves while it waits for other units

Cause: a member leaves once it serves all that it owns. Units that others move to it meanwhile, since they do not know of its leaving before the log says so, or that a former owner keeps for a long request, put that off, and its gate takes nothing from a second after its upstream's word: its keys have no server.

Change: it tells the owners for whose units it stands by at once that it is leaving (a field of the load report), so that none moves to it; and it hands over what it serves, unit by unit, to standbys that stay, while it waits for the rest.

Ruled out: a Leave that names units it does not serve, whose former owners would stay recorded: a change of the protocol for what a switchover does.

Also here: the property of leases reads its members without casts.

--- a/acaciaring_core/tests/lease_promise.rs
+++ b/acaciaring_core/tests/lease_promise.rs
@@ -7,30 +7,33 @@
 use proptest::prelude::*;
 
 /// Members of which the sets are made.
-const LESSORS: u64 = 6;
+const LESSORS: usize = 6;
 
 /// One step of a schedule.
 #[derive(Debug, Clone)]
 enum Step {
     /// Time passes, and the renewals that are due are granted by some lessors.
-    Renew { millis: u64, grants: [bool; LESSORS as usize] },
+    Renew { millis: u64, grants: [bool; LESSORS] },
     /// Three lessors, counted from one of them, are proposed if they are ready, else asked.
-    Exchange { first: u64 },
+    Exchange { first: usize },
     /// What is proposed is read back.
     ReadBack,
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let renew = (1_u64..1200, any::<[bool; LESSORS as usize]>())
+    let renew = (1_u64..1200, any::<[bool; LESSORS]>())
         .prop_map(|(millis, grants)| Step::Renew { millis, grants });
     let exchange = (0..LESSORS).prop_map(|first| Step::Exchange { first });
     prop_oneof![4 => renew, 2 => exchange, 1 => Just(Step::ReadBack)]
 }
 
-fn set(first: u64) -> Vec<MemberId> {
-    let mut set: Vec<_> = (0..3).map(|n| MemberId((first + n) % LESSORS + 1)).collect();
-    set.sort_unstable();
-    set
+/// Returns three of the lessors in order, counted from one of them.
+fn set(first: usize) -> Vec<MemberId> {
+    let mut ids: Vec<u64> = (1..).take(LESSORS).collect();
+    ids.rotate_left(first);
+    ids.truncate(3);
+    ids.sort_unstable();
+    ids.into_iter().map(MemberId).collect()
 }
 
 // Upstreams hold units until the end of the lease as it was when they reported. Whatever the order of
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -1,13 +1,13 @@
 //! Moves of units to cooler members, decided by each owner for itself.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use acaciaring_core::balance::{self, BalanceSettings, Candidate, History, Load, Plan};
 use acaciaring_core::heat::Heat;
 use acaciaring_core::route::Weights;
-use acaciaring_core::state::{Phase, Service, State};
+use acaciaring_core::state::{Member, Phase, Service, State};
 use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Handoff, Merge, Split, Switchover, Unit, record};
 use acaciaring_schema::peer::{Datagram, Loads, datagram};
@@ -34,6 +34,8 @@
     loads: HashMap<MemberId, Load>,
     /// Mean times that requests take at other members' upstreams, where they are known.
     services: HashMap<MemberId, Duration>,
+    /// Members that have said that they are about to leave.
+    leaving: HashSet<MemberId>,
     history: History,
     planned: Time,
     reported: Time,
@@ -57,9 +59,6 @@
     /// Beside an upstream that reports what it holds, moves are planned when a report has come: its
     /// reply can then leave out what moves.
     pub(super) fn balance(&mut self, now: Time) {
-        if self.retiring() {
-            return;
-        }
         if now.since(self.balance.reported) >= self.report_interval() {
             self.balance.reported = now;
             self.report_load();
@@ -99,7 +98,8 @@
         let (busy, capacity) = self.parts.gate.load();
         let service = self.parts.gate.mean_time().as_micros();
         let service = u32::try_from(service).unwrap_or(0);
-        let loads = Loads { member: me.0, rate: self.parts.gate.rate(), busy, capacity, service };
+        let (rate, leaving) = (self.parts.gate.rate(), identity.retiring.is_some());
+        let loads = Loads { member: me.0, rate, busy, capacity, service, leaving };
         let datagram = Datagram { body: Some(datagram::Body::Loads(loads)) };
         let units = self.state.services().flat_map(Service::units);
         let mut owners: Vec<MemberId> = units
@@ -117,6 +117,39 @@
         }
     }
 
+    /// Tells the owners at once that no unit should move to this member any more.
+    ///
+    /// Guards against a leaving member that never gets away: it leaves once it serves all that it
+    /// owns, and others that do not know of it yet move further units to it meanwhile.
+    pub(super) fn report_leaving(&mut self) {
+        self.balance.reported = Time::ZERO;
+        self.duties = Time::ZERO;
+    }
+
+    /// Passes on what this leaving member serves while it waits for other units of its own.
+    ///
+    /// Guards against keys without server: the upstream takes no more requests, and a unit on its
+    /// way here may take a second or more, for which all others would wait.
+    pub(super) fn pass_on_served(&mut self, now: Time) {
+        let Some(me) = self.identity.as_ref().map(|identity| identity.me) else { return };
+        let state = Arc::clone(&self.state);
+        let stays = |id: &MemberId| {
+            let alive = state.member(*id).is_some_and(Member::alive);
+            alive && !self.balance.leaving.contains(id)
+        };
+        let mut plans = Vec::new();
+        for service in state.services() {
+            let mine = service.units().filter(|(_, assignment)| assignment.owner == Some(me));
+            let movable =
+                mine.filter(|(_, assignment)| assignment.standby.as_ref().is_some_and(stays));
+            let switchovers = movable.map(|(unit, _)| unit).collect();
+            plans.push((&service.workspace, Plan { switchovers, ..Plan::default() }));
+        }
+        for (workspace, plan) in plans {
+            self.propose_switchovers(now, workspace, &plan);
+        }
+    }
+
     /// Sends the imbalance as this member knows it, none without load.
     #[expect(
         clippy::cast_possible_truncation,
@@ -140,15 +173,22 @@
         let rate = loads.rate as f64 / 1000.0;
         let load = Load { rate, busy: loads.busy, capacity: loads.capacity, speed: 1.0, at: now };
         let member = MemberId(loads.member);
-        self.balance.loads.insert(member, load);
+        if loads.leaving {
+            self.balance.leaving.insert(member);
+            self.balance.loads.remove(&member);
+        } else {
+            self.balance.leaving.remove(&member);
+            self.balance.loads.insert(member, load);
+        }
         if loads.service > 0 {
             let service = Duration::from_micros(loads.service.into());
             self.balance.services.insert(member, service);
         }
         let state = &self.state;
-        self.balance
-            .loads
-            .retain(|id, _| state.member(*id).is_some_and(|member| member.phase != Phase::Dead));
+        let lives =
+            |id: &MemberId| state.member(*id).is_some_and(|member| member.phase != Phase::Dead);
+        self.balance.loads.retain(|id, _| lives(id));
+        self.balance.leaving.retain(lives);
         let loads = &self.balance.loads;
         self.balance.services.retain(|id, _| loads.contains_key(id));
     }
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -43,6 +43,7 @@
             Some(identity) => identity.retire(now, Retiring::Stop),
             None => self.proposals.clear(),
         }
+        self.report_leaving();
     }
 
     /// Returns true when the process may exit.
@@ -108,6 +109,7 @@
         let attached = self.attachment().is_some();
         if let Some(identity) = self.identity.as_mut().filter(|_| attached) {
             identity.retire(now, Retiring::Upstream);
+            self.report_leaving();
         }
     }
 
@@ -130,21 +132,19 @@
     ///
     /// While it still waits for the release of a unit by a former owner, the
     /// record would make it that unit's `prior` and nobody would wait for the
-    /// former owner any more.
+    /// former owner any more. What it serves already is passed on meanwhile.
     fn leave(&mut self, now: Time) {
         if self.proposals.pending(&Purpose::Leave) {
             return;
         }
+        if self.waits_for_units() {
+            return self.pass_on_served(now);
+        }
         let Some(identity) = &mut self.identity else { return };
         let mut renounced: Vec<(Name, UnitId, Offset)> = Vec::new();
         for service in self.state.services() {
             let workspace = &service.workspace;
             for (unit, assignment) in service.units() {
-                if assignment.owner == Some(identity.me)
-                    && !identity.rights.serving(workspace, unit)
-                {
-                    return;
-                }
                 if assignment.standby == Some(identity.me) {
                     // Taken over, and still held: whoever stands by next could serve beside it.
                     let holds = &self.holding.holds;
@@ -184,6 +184,16 @@
         identity.retiring == Some(Retiring::Stop) && identity.lessor.vouches(now, stays)
     }
 
+    /// Returns true while this member owns a unit that a former owner has not released to it.
+    fn waits_for_units(&self) -> bool {
+        let Some(identity) = &self.identity else { return false };
+        self.state.services().any(|service| {
+            let mine = service.units().filter(|(_, a)| a.owner == Some(identity.me));
+            let mut units = mine.map(|(unit, _)| unit);
+            units.any(|unit| !identity.rights.serving(&service.workspace, unit))
+        })
+    }
+
     /// Proposes `Exit`: nothing is served or granted under this identity any more.
     fn exit(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
