Let a member whose lessors are dead join anew at once

Cause: a member that loses two of its three lessors at the same moment can neither renew nor exchange them, since the dead supersede nothing, and waited for lease.abandon, although the log told soon that the two are dead.

Change: an identity whose recorded lessors are no majority alive in the log, and whose lease is over, is given up. It waits while its lease runs.

Ruled out: giving up after some silence of the lessors; cut off from them by the network, members would give up together, and each that does takes a lessor from others.

--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -289,6 +289,21 @@
         })
     }
 
+    /// Returns true when so many lessors are dead in the log that this identity never gets a lease again.
+    ///
+    /// Guards against units without a server for many times the term: a member that has lost two of
+    /// three lessors at once can neither renew nor exchange them, for the dead supersede nothing.
+    /// It need not wait until it is abandoned; while its lease runs it serves on.
+    #[must_use]
+    pub fn orphaned(&self, now: Time, alive: impl Fn(MemberId) -> bool) -> bool {
+        let lacks = |set: &LessorSet| {
+            let living = set.lessors.iter().filter(|id| alive(**id)).count();
+            !set.lessors.is_empty() && living < set.majority()
+        };
+        let recorded = self.sets.iter().filter(|set| set.version.is_some());
+        !self.holds(now) && recorded.into_iter().any(lacks)
+    }
+
     /// Returns true when this identity must be given up and must grant nothing more.
     ///
     /// A member that never had lessors cannot be evicted, so it may stay.
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -340,6 +340,23 @@
     assert!(!holder.ready(ms(1600), &[C, D]));
 }
 
+// Two of a member's three lessors are lost at once. Once the log says so it knows that it never gets a
+// lease again, and need not wait half a minute; while its lease runs it serves on. With one lost
+// lessor it goes on, and one that has no lessors yet waits for some.
+#[test]
+fn a_member_whose_lessors_are_dead_is_orphaned() {
+    let mut holder = holder(&[A, B, C]);
+    renew(&mut holder, ms(100), &[A, B, C], 10);
+    let after = ms(100) + settings().term;
+    assert!(!holder.orphaned(ms(200), |id| id == C), "the lease runs");
+    assert!(!holder.orphaned(after, |id| id != A), "a majority lives");
+    assert!(holder.orphaned(after, |id| id == C));
+    // A later set helps nothing: the old one cannot be superseded.
+    holder.install(20, &[B, C, D], |id| id == C);
+    assert!(holder.orphaned(after, |id| id == C || id == D));
+    assert!(!Holder::new(H, ms(0), settings()).orphaned(after, |_| false));
+}
+
 // An upstream was told to hold a unit until the lease ends, three of its lessors' grants long. New
 // lessors have granted too, to renewals that were sent before. Were they proposed now, the lease would
 // end earlier, and their votes could give the unit to another upstream while this one still holds it.
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -120,7 +120,9 @@
     fn watch_lease(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
         let dead = self.state.member(identity.me).is_none_or(|member| member.phase == Phase::Dead);
-        let lost = identity.holder.refused() || identity.holder.abandoned(now);
+        let alive = |id| self.state.member(id).is_some_and(|member| member.phase != Phase::Dead);
+        let holder = &identity.holder;
+        let lost = holder.refused() || holder.abandoned(now) || holder.orphaned(now, alive);
         if identity.retiring.is_none() && (dead || lost) {
             warn!(member = %identity.me, dead, "identity is lost, joining anew");
             identity.retire(now, Retiring::Lease);
--- a/acaciaringd/tests/place.rs
+++ b/acaciaringd/tests/place.rs
@@ -2,14 +2,19 @@
 
 mod common;
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use acaciaring_testing::harness::wait_until;
 use acaciaring_testing::{Ask, ask, ask_until_answered};
+use serde_json::Value;
 
 use common::watch::{self, AGAIN};
 use common::{CONTRACTS, korenveld};
 
+/// Time without a lease after which a member gives up by the default settings.
+const ABANDON: Duration = Duration::from_secs(30);
+
 /// Bound on the time until a place that started again serves.
 const RESTART: Duration = Duration::from_mins(1);
 
@@ -36,6 +41,39 @@
     .expect("the evictions are recorded");
 }
 
+// Two VMs are lost at the same moment, and both were lessors of a third one, which can neither renew its
+// lease nor exchange them. Its keys are served again soon after the log says that the two are lost: the
+// third one begins anew, long before it would give up hope.
+#[test]
+fn a_member_that_lost_two_lessors_at_once_serves_again_soon() {
+    let mut cluster = korenveld(8, 0);
+    let lessors = |vm: usize| -> Vec<usize> {
+        let status = cluster.admin(0, "/v1/members").unwrap_or_default();
+        let rows = status["members"].as_array().cloned().unwrap_or_default();
+        let place =
+            |id: &Value| rows.iter().find(|row| row["member"] == *id)?["vm"].as_str().map(vm_of);
+        let row = rows.iter().find(|row| row["vm"] == format!("vm-{vm}"));
+        let ids = row.and_then(|row| row["lessors"].as_array().cloned()).unwrap_or_default();
+        ids.iter().filter_map(place).collect()
+    };
+    let left = 7;
+    let lost: Vec<usize> = lessors(left).into_iter().filter(|vm| *vm != 0).take(2).collect();
+    assert_eq!(lost.len(), 2, "{lost:?}");
+    let keys = watch::keys_of(&cluster, left, 1);
+    for vm in &lost {
+        cluster.kill(*vm);
+    }
+    // Its lease is over before its keys count as served again.
+    thread::sleep(Duration::from_secs(2));
+    let took = watch::answered_again(cluster.vms[0].http, &keys, Instant::now());
+    println!("two lessors lost: {} keys served again after {took:?}", keys.len());
+    assert!(took < ABANDON / 2, "{took:?}");
+}
+
+fn vm_of(name: &str) -> usize {
+    name.trim_start_matches("vm-").parse().expect("a number")
+}
+
 // A place loses power: all VMs are gone at once, and later they start again under their names and
 // addresses. Nobody is left who granted a lease to a former member or could vote on it; the new
 // processes on their addresses succeed them. A signature that ran before the loss is not run again:
