--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -37,6 +37,11 @@
 /// Longest wait of a request for a unit that is about to become this member's.
 const HANDOVER: Duration = Duration::from_millis(250);
 
+/// Part of what is left of its time that a request may wait so; 2 stands for a half.
+///
+/// Guards against a refusal that comes with the deadline: its caller would have been held for nothing.
+const HANDOVER_PART: u32 = 2;
+
 /// Stands for all requests to a service that is not divided by key.
 const POOLED: Slot = Slot::MAX;
 
@@ -207,7 +212,8 @@
 
     /// Waits until this member may serve the key, within bounds.
     async fn grant(&self, job: &Job<'_>, key: KeyHash) -> Result<(Grant, InflightGuard), Refusal> {
-        let patience = job.deadline.min(clock::now() + HANDOVER);
+        let start = clock::now();
+        let patience = start + HANDOVER.min(job.deadline.since(start) / HANDOVER_PART);
         loop {
             let now = clock::now();
             let unit = self
