Split ranges of keys and outcomes of tries off two large modules

Change: moved without a change to holds/rows.rs and router/outcome.rs; Identity::renews is asked in both places; gone is removed, and with it the case of no instance after a former one, which it alone could bring about.

Ruled out: a change of behaviour; tests of the core and of the daemon's units pass as before.

Conclusion: easier to read; nothing else.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -3,11 +3,15 @@
 //! The upstream reports what it holds, and each reply says all that it is to hold and for how
 //! long. A unit may pass to another member only once its upstream surely holds it no more.
 
+mod rows;
+
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 use std::slice;
 use std::time::Duration;
 
+pub use self::rows::{Freed, Granted, Held, Wanted};
+use self::rows::{lie_in, meet, rows};
 use crate::id::{Name, Token, UnitId};
 use crate::time::Time;
 
@@ -37,54 +41,6 @@
 /// Former instances that are remembered.
 const FORMER: usize = 32;
 
-/// Range of keys that an upstream holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Held {
-    /// First key.
-    pub first: u32,
-    /// Last key.
-    pub last: u32,
-    /// Token under which it holds them.
-    pub token: Token,
-}
-
-/// Range of keys that an upstream has released.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Freed {
-    /// First key.
-    pub first: u32,
-    /// Last key.
-    pub last: u32,
-    /// What the next holder needs to go on without warming up.
-    pub handover: Name,
-}
-
-/// Range of keys that an upstream is to hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Granted {
-    /// First key.
-    pub first: u32,
-    /// Last key.
-    pub last: u32,
-    /// Token.
-    pub token: Token,
-    /// What the last holder gave out, empty when it gave nothing or has no longer to be told.
-    pub handover: Name,
-}
-
-/// Unit that the upstream is to hold.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Wanted {
-    /// Unit.
-    pub unit: UnitId,
-    /// Token under which this member serves it.
-    pub token: Token,
-    /// Its keys.
-    pub keys: Vec<RangeInclusive<u32>>,
-    /// What the last holder gave out.
-    pub handover: Name,
-}
-
 /// What became of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Report {
@@ -231,13 +187,6 @@
         now < self.until && (self.unknown() || !self.reported.is_empty() || !self.given.is_empty())
     }
 
-    /// Notes that the upstream has gone: the start that has reported holds nothing any more.
-    pub fn gone(&mut self) {
-        self.replaced();
-        self.instance = None;
-        self.sequence = 0;
-    }
-
     fn replaced(&mut self) {
         if let Some(former) = self.instance.take() {
             self.former.push(former);
@@ -354,10 +303,8 @@
     /// Guards against a process that starts beside a living upstream and sees a report that was
     /// held up: it would pass on at once what the upstream still holds by the former process.
     fn unknown(&self) -> bool {
-        if self.instance.is_none() {
-            return self.former.is_empty();
-        }
-        self.former.is_empty() && self.heard.since(self.first) < CONFIRM
+        let soon = self.instance.is_none() || self.heard.since(self.first) < CONFIRM;
+        self.former.is_empty() && soon
     }
 
     /// Returns what the upstream gave out when it released keys, empty when it gave nothing.
@@ -390,43 +337,3 @@
         })
     }
 }
-
-/// Returns true when some of the keys are in a range that is held.
-fn meet(keys: &[RangeInclusive<u32>], held: &[Held]) -> bool {
-    let meets = |keys: &RangeInclusive<u32>, held: &Held| {
-        held.first <= *keys.end() && *keys.start() <= held.last
-    };
-    held.iter().any(|held| keys.iter().any(|keys| meets(keys, held)))
-}
-
-/// Returns true when all of the keys are in the range from `first` to `last`.
-fn lie_in(keys: &[RangeInclusive<u32>], first: u32, last: u32) -> bool {
-    keys.iter().all(|keys| first <= *keys.start() && *keys.end() <= last)
-}
-
-/// Returns the ranges of units; neighbours that are given alike are joined.
-fn rows(units: &[&Wanted]) -> Vec<Granted> {
-    let row = |unit: &Wanted, keys: &RangeInclusive<u32>| Granted {
-        first: *keys.start(),
-        last: *keys.end(),
-        token: unit.token,
-        handover: Name::clone(&unit.handover),
-    };
-    let mut rows: Vec<Granted> =
-        units.iter().flat_map(|unit| unit.keys.iter().map(|keys| row(unit, keys))).collect();
-    rows.sort_unstable_by_key(|row| row.first);
-    let mut merged: Vec<Granted> = Vec::with_capacity(rows.len());
-    for row in rows {
-        match merged.last_mut() {
-            Some(last)
-                if last.last + 1 == row.first
-                    && last.token == row.token
-                    && last.handover == row.handover =>
-            {
-                last.last = row.last;
-            }
-            _ => merged.push(row),
-        }
-    }
-    merged
-}
--- /dev/null
+++ b/acaciaring_core/src/holds/rows.rs
@@ -0,0 +1,93 @@
+//! Ranges of keys in reports and replies.
+
+use std::ops::RangeInclusive;
+
+use crate::id::{Name, Token, UnitId};
+
+/// Range of keys that an upstream holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// Token under which it holds them.
+    pub token: Token,
+}
+
+/// Range of keys that an upstream has released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Freed {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// What the next holder needs to go on without warming up.
+    pub handover: Name,
+}
+
+/// Range of keys that an upstream is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Granted {
+    /// First key.
+    pub first: u32,
+    /// Last key.
+    pub last: u32,
+    /// Token.
+    pub token: Token,
+    /// What the last holder gave out, empty when it gave nothing or has no longer to be told.
+    pub handover: Name,
+}
+
+/// Unit that the upstream is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wanted {
+    /// Unit.
+    pub unit: UnitId,
+    /// Token under which this member serves it.
+    pub token: Token,
+    /// Its keys.
+    pub keys: Vec<RangeInclusive<u32>>,
+    /// What the last holder gave out.
+    pub handover: Name,
+}
+
+/// Returns true when some of the keys are in a range that is held.
+pub(super) fn meet(keys: &[RangeInclusive<u32>], held: &[Held]) -> bool {
+    let meets = |keys: &RangeInclusive<u32>, held: &Held| {
+        held.first <= *keys.end() && *keys.start() <= held.last
+    };
+    held.iter().any(|held| keys.iter().any(|keys| meets(keys, held)))
+}
+
+/// Returns true when all of the keys are in the range from `first` to `last`.
+pub(super) fn lie_in(keys: &[RangeInclusive<u32>], first: u32, last: u32) -> bool {
+    keys.iter().all(|keys| first <= *keys.start() && *keys.end() <= last)
+}
+
+/// Returns the ranges of units; neighbours that are given alike are joined.
+pub(super) fn rows(units: &[&Wanted]) -> Vec<Granted> {
+    let row = |unit: &Wanted, keys: &RangeInclusive<u32>| Granted {
+        first: *keys.start(),
+        last: *keys.end(),
+        token: unit.token,
+        handover: Name::clone(&unit.handover),
+    };
+    let mut rows: Vec<Granted> =
+        units.iter().flat_map(|unit| unit.keys.iter().map(|keys| row(unit, keys))).collect();
+    rows.sort_unstable_by_key(|row| row.first);
+    let mut merged: Vec<Granted> = Vec::with_capacity(rows.len());
+    for row in rows {
+        match merged.last_mut() {
+            Some(last)
+                if last.last + 1 == row.first
+                    && last.token == row.token
+                    && last.handover == row.handover =>
+            {
+                last.last = row.last;
+            }
+            _ => merged.push(row),
+        }
+    }
+    merged
+}
--- a/acaciaringd/src/control/identity.rs
+++ b/acaciaringd/src/control/identity.rs
@@ -70,6 +70,14 @@
         self.rights.decide(now, &self.holder, workspace, unit, assignment, expired)
     }
 
+    /// Returns true while this identity renews its lease.
+    ///
+    /// One that is given up for its lost lease must not get it back: its `Exit` lets the standbys
+    /// serve as soon as they read it.
+    pub(crate) fn renews(&self) -> bool {
+        self.retiring != Some(Retiring::Lease)
+    }
+
     /// Begins the end of this identity; a stop of the process replaces other reasons but a lost lease.
     pub(crate) fn retire(&mut self, now: Time, reason: Retiring) {
         match self.retiring {
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -12,7 +12,7 @@
 
 use super::Control;
 use super::concern::concerned;
-use super::identity::{Identity, Retiring};
+use super::identity::Retiring;
 use crate::metrics::Counter;
 use crate::view::peer_address;
 use crate::wire;
@@ -38,10 +38,7 @@
 impl Control {
     /// Sends the renewals that are due and publishes the end of the lease.
     pub(super) fn renew(&mut self, now: Time) {
-        // An identity that is given up for its lost lease must not get it back: its
-        // `Exit` lets the standbys serve as soon as they read it.
-        let kept = |identity: &&mut Identity| identity.retiring != Some(Retiring::Lease);
-        let Some(identity) = self.identity.as_mut().filter(kept) else {
+        let Some(identity) = self.identity.as_mut().filter(|identity| identity.renews()) else {
             self.parts.shared.lease.set(Time::ZERO);
             return;
         };
@@ -69,8 +66,9 @@
     }
 
     fn publish_lease(&mut self, now: Time) {
-        let kept = |identity: &&Identity| identity.retiring != Some(Retiring::Lease);
-        let Some(identity) = self.identity.as_ref().filter(kept) else { return };
+        let Some(identity) = self.identity.as_ref().filter(|identity| identity.renews()) else {
+            return;
+        };
         let end = identity.holder.until().unwrap_or(Time::ZERO);
         let before = self.parts.shared.lease.get();
         self.parts.shared.lease.set(end);
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod keyed;
 mod lingerers;
 mod outages;
+mod outcome;
 mod pooled;
 mod shares;
 mod spans;
@@ -18,7 +19,7 @@
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
-use acaciaring_schema::peer::{Answer, Request};
+use acaciaring_schema::peer::Request;
 use parking_lot::Mutex;
 use rand::Rng;
 use tracing::{debug, info};
@@ -26,6 +27,7 @@
 pub(crate) use self::budgets::{Budgets, CommonBudget};
 pub(crate) use self::lingerers::Lingerers;
 pub(crate) use self::outages::Outages;
+use self::outcome::{Load, Try, arrived, come_back, judge, whole};
 pub(crate) use self::shares::Shares;
 pub(crate) use self::spans::Spans;
 pub(crate) use self::suspects::Suspects;
@@ -88,26 +90,6 @@
     last: AtomicU64,
 }
 
-/// What a member reports on its answers.
-#[derive(Debug, Clone, Copy)]
-struct Load {
-    busy: u32,
-    /// Requests that may run at once; 0 while the upstream asks to be left alone.
-    capacity: u32,
-}
-
-/// What came of one try.
-enum Try {
-    /// The upstream answered.
-    Whole(Answer),
-    /// The member refused.
-    Refused { refusal: Refusal, owner: Option<MemberId>, load: Load },
-    /// The request did not arrive and never will.
-    Undelivered,
-    /// The request may have run.
-    Lost,
-}
-
 impl Router {
     /// Answers a caller's request; when the future is dropped, its work is cancelled.
     pub(crate) async fn handle(&self, request: EntryRequest) -> EntryAnswer {
@@ -318,35 +300,6 @@
     Err(Refusal::not_run(Reason::Busy).after(lag.mul_f64(rand::rng().random_range(1.0..2.0))))
 }
 
-/// Returns true when an upstream has seen a try, or may have.
-fn arrived(refusal: Refusal) -> bool {
-    refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed
-}
-
-fn judge(outcome: RequestOutcome) -> Try {
-    match outcome {
-        RequestOutcome::NotDelivered => Try::Undelivered,
-        RequestOutcome::Lost => Try::Lost,
-        RequestOutcome::Answer(answer) => match wire::refused(&answer) {
-            Some(refusal) => {
-                let load = Load { busy: answer.busy, capacity: answer.capacity };
-                Try::Refused { refusal, owner: MemberId::from_wire(answer.owner), load }
-            }
-            None if answer.length != answer.body.len() as u64 => Try::Lost,
-            None => Try::Whole(answer),
-        },
-    }
-}
-
-/// Adds when to come back to a refusal that does not say it and may end by itself.
-fn come_back(refusal: Refusal) -> Refusal {
-    let lasting = matches!(refusal.reason, Reason::NoRoute | Reason::BadRequest);
-    if refusal.verdict != Verdict::NotRun || lasting {
-        return refusal;
-    }
-    refusal.after(refusal.retry.unwrap_or(COME_BACK))
-}
-
 fn find_key(route: &Route, request: &EntryRequest) -> Result<Option<KeyHash>, Refusal> {
     if route.division == Division::Pooled {
         return Ok(None);
@@ -381,15 +334,3 @@
         ..Request::default()
     }
 }
-
-fn whole(answer: Answer) -> EntryAnswer {
-    EntryAnswer {
-        verdict: Verdict::Answered,
-        reason: None,
-        status: u16::try_from(answer.status).unwrap_or(502),
-        headers: wire::headers(&answer.headers),
-        body: answer.body,
-        retry: None,
-        owner: MemberId::from_wire(answer.owner).map(|owner| owner.to_string()),
-    }
-}
--- /dev/null
+++ b/acaciaringd/src/router/outcome.rs
@@ -0,0 +1,70 @@
+//! What came of one try, and what the caller is told of it.
+
+use acaciaring_core::{MemberId, Reason, Refusal, Verdict};
+use acaciaring_schema::peer::Answer;
+
+use super::COME_BACK;
+use crate::entry::EntryAnswer;
+use crate::peer::RequestOutcome;
+use crate::wire;
+
+/// What a member reports on its answers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Load {
+    pub(super) busy: u32,
+    /// Requests that may run at once; 0 while the upstream asks to be left alone.
+    pub(super) capacity: u32,
+}
+
+/// What came of one try.
+pub(super) enum Try {
+    /// The upstream answered.
+    Whole(Answer),
+    /// The member refused.
+    Refused { refusal: Refusal, owner: Option<MemberId>, load: Load },
+    /// The request did not arrive and never will.
+    Undelivered,
+    /// The request may have run.
+    Lost,
+}
+
+/// Returns true when an upstream has seen a try, or may have.
+pub(super) fn arrived(refusal: Refusal) -> bool {
+    refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed
+}
+
+pub(super) fn judge(outcome: RequestOutcome) -> Try {
+    match outcome {
+        RequestOutcome::NotDelivered => Try::Undelivered,
+        RequestOutcome::Lost => Try::Lost,
+        RequestOutcome::Answer(answer) => match wire::refused(&answer) {
+            Some(refusal) => {
+                let load = Load { busy: answer.busy, capacity: answer.capacity };
+                Try::Refused { refusal, owner: MemberId::from_wire(answer.owner), load }
+            }
+            None if answer.length != answer.body.len() as u64 => Try::Lost,
+            None => Try::Whole(answer),
+        },
+    }
+}
+
+/// Adds when to come back to a refusal that does not say it and may end by itself.
+pub(super) fn come_back(refusal: Refusal) -> Refusal {
+    let lasting = matches!(refusal.reason, Reason::NoRoute | Reason::BadRequest);
+    if refusal.verdict != Verdict::NotRun || lasting {
+        return refusal;
+    }
+    refusal.after(refusal.retry.unwrap_or(COME_BACK))
+}
+
+pub(super) fn whole(answer: Answer) -> EntryAnswer {
+    EntryAnswer {
+        verdict: Verdict::Answered,
+        reason: None,
+        status: u16::try_from(answer.status).unwrap_or(502),
+        headers: wire::headers(&answer.headers),
+        body: answer.body,
+        retry: None,
+        owner: MemberId::from_wire(answer.owner).map(|owner| owner.to_string()),
+    }
+}
