Refuse at once, and do not be ready, before other members know a process

It said that it was ready, and each of its requests made connections that all others refused, since they know no certificate of it.

Change: until it has joined once such a process answers 503 with when to come back, and is not ready. One that joins anew later keeps what it has: its connections still stand.

Ruled out: refusing whenever there is no identity, which would cut off members for the tenth of a second in which they join anew.

Conclusion: callers hear it at once, and others keep their processor time.

--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -329,6 +329,7 @@
         info!(member = %member.id, "joined");
         self.joining = None;
         self.identity = Some(Identity::new(member.id, joining.start, self.parts.lease));
+        self.parts.shared.joined.store(true, Ordering::Release);
     }
 
     /// Computes the rights anew and publishes them.
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -160,7 +160,7 @@
         let read = request.received.since_start();
         request.received = Time::from_start(read.saturating_sub(lag));
         let view = self.shared.view();
-        self.check_lease()?;
+        self.check_standing()?;
         let route = view.routes.find(request.host.as_deref(), &request.path);
         let route = Arc::clone(route.ok_or_else(|| self.unrouted())?);
         let route = self.shares.pick(route);
@@ -208,13 +208,19 @@
         Some(request.received + target.saturating_sub(waited.unwrap_or_default()))
     }
 
-    /// Refuses requests while this member holds no lease.
+    /// Refuses requests while this member has no standing among the others.
     ///
     /// Guards against an evicted member that still takes requests by an old
     /// configuration: `accepted` waits for all members but the evicted ones, so
-    /// a member that may be evicted must not act on what it knows.
-    fn check_lease(&self) -> Result<(), Refusal> {
-        if self.shared.declares || clock::now() < self.shared.lease.get() {
+    /// a member that may be evicted must not act on what it knows. Where the configuration is
+    /// declared, it is enough that others know this process.
+    fn check_standing(&self) -> Result<(), Refusal> {
+        let may = if self.shared.declares {
+            self.shared.is_known()
+        } else {
+            clock::now() < self.shared.lease.get()
+        };
+        if may {
             return Ok(());
         }
         Err(Refusal::not_run(Reason::NoLease).after(COME_BACK))
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -152,6 +152,8 @@
     pub(crate) stopping: AtomicBool,
     /// True once this member knows a configuration.
     pub(crate) configured: AtomicBool,
+    /// True once this process has joined; before, no other member takes its connections.
+    pub(crate) joined: AtomicBool,
     change: Notify,
 }
 
@@ -169,7 +171,16 @@
     /// Returns true while callers are to come to this member.
     pub(crate) fn is_ready(&self) -> bool {
         let configured = !self.declares || self.configured.load(Ordering::Acquire);
-        configured && !self.stopping.load(Ordering::Acquire)
+        configured && self.is_known() && !self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns true once other members know this process, so that it can send requests on.
+    ///
+    /// Guards against a process that has its configuration before it has joined, for a second or more
+    /// where the store is slow: each request made connections that all others refuse, a hundred
+    /// handshakes on machines with little processor time.
+    pub(crate) fn is_known(&self) -> bool {
+        !self.declares || self.joined.load(Ordering::Acquire)
     }
 
     /// Publishes a view and wakes those that wait for a change.
