Search the model for an exchange of lessors that breaks a promise

Cause: the mend of lessors that are proposed too early rested on a property of the holder alone.

Change: the lease model may ask the second lessor beforehand and propose it by the same rule as the daemon, while a request waits between its check and its write. The mutation ProposeUnready takes the rule out.

Conclusion: the fault was in the protocol and not in one process's luck; the rule closes it within the model's bounds.

--- a/acaciaring_model/src/lease/mod.rs
+++ b/acaciaring_model/src/lease/mod.rs
@@ -9,7 +9,7 @@
 use acaciaring_core::state::{Member, Phase};
 use acaciaring_core::{MemberId, Offset, Time};
 
-pub use self::state::{Action, Change, Entry, LeaseState, Message};
+pub use self::state::{Action, Change, Entry, Exchange, LeaseState, Message};
 use crate::mutation::Mutation;
 use crate::pool::Pool;
 use crate::search::Model;
@@ -41,6 +41,8 @@
     pub restart: bool,
     /// True when the holder may pause between its check and its write to the upstream.
     pub write: bool,
+    /// How a holder with a lease begins the change to the second set.
+    pub exchange: Exchange,
     /// Values of the holder.
     pub holders: Pool<Holder>,
     /// Values of the lessors.
@@ -59,6 +61,7 @@
             death: false,
             restart: false,
             write: false,
+            exchange: Exchange::Abrupt,
             holders: Pool::default(),
             lessors: Pool::default(),
         }
@@ -122,11 +125,26 @@
         tally.proof(now, &member(me, version, ids(lessors))).is_some()
     }
 
+    /// Returns how the holder may begin the change of its lessors.
+    fn proposals(&self, state: &LeaseState) -> Vec<Action> {
+        let holder = self.holders.get(state.holder);
+        let ready = !holder.holds(state.now) || holder.ready(state.now, &ids(&self.second));
+        let mut actions = Vec::new();
+        let asks = self.exchange == Exchange::Asked;
+        if !asks || ready || self.mutated(Mutation::ProposeUnready) {
+            actions.push(Action::Propose);
+        }
+        if asks && !holder.preparing() {
+            actions.push(Action::Prepare);
+        }
+        actions
+    }
+
     fn changes(&self, state: &LeaseState) -> Vec<Action> {
         let mut actions = Vec::new();
         if !self.second.is_empty() && self.holders.get(state.holder).id() == HOLDERS[0] {
             match state.change {
-                Change::None => actions.push(Action::Propose),
+                Change::None => actions.extend(self.proposals(state)),
                 Change::Proposed => actions.push(Action::Append),
                 Change::Appended => actions.push(Action::Install),
                 Change::Installed => {}
@@ -229,6 +247,9 @@
                 }
             }
             Action::Vote(lessor) => self.vote(&mut state, lessor),
+            Action::Prepare => {
+                self.holders.change(&mut state.holder, |holder| holder.prepare(&ids(&self.second)));
+            }
             Action::Propose => {
                 if !self.mutated(Mutation::ProposalNotNeeded) {
                     self.holders
--- a/acaciaring_model/src/lease/state.rs
+++ b/acaciaring_model/src/lease/state.rs
@@ -13,6 +13,15 @@
     Death(Time),
 }
 
+/// How a holder with a lease begins a change of its lessors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exchange {
+    /// It proposes the second set at any time.
+    Abrupt,
+    /// It asks the second set, and proposes it once that leaves the lease as long as it is.
+    Asked,
+}
+
 /// Progress of the change of lessors at the holder.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Change {
@@ -66,6 +75,8 @@
     Receive(Message),
     /// A lessor votes.
     Vote(usize),
+    /// The holder asks the second set beforehand.
+    Prepare,
     /// The holder proposes the second set.
     Propose,
     /// The log takes the record.
--- a/acaciaring_model/src/mutation.rs
+++ b/acaciaring_model/src/mutation.rs
@@ -7,6 +7,8 @@
     RestartKeepsIdentity,
     /// The holder does not need a proposed set before it reads it back.
     ProposalNotNeeded,
+    /// The holder proposes a set whose lease would end before that of the present one.
+    ProposeUnready,
     /// The holder drops the old set as soon as it reads back the new one.
     OldSetDropped,
     /// Votes count whatever version they carry.
--- a/acaciaring_model/tests/lease.rs
+++ b/acaciaring_model/tests/lease.rs
@@ -1,7 +1,7 @@
 //! Searches of the lease model.
 
 use acaciaring_model::Mutation;
-use acaciaring_model::lease::LeaseModel;
+use acaciaring_model::lease::{Exchange, LeaseModel};
 use acaciaring_model::search::search;
 
 fn majority() -> LeaseModel {
@@ -24,6 +24,11 @@
     LeaseModel { write: true, horizon: 6, rounds: 3, ..LeaseModel::default() }
 }
 
+/// A request waits between check and write while the lessors change.
+fn promise() -> LeaseModel {
+    LeaseModel { exchange: Exchange::Asked, write: true, ..change() }
+}
+
 fn holds(name: &str, model: &LeaseModel) {
     let start = std::time::Instant::now();
     let report = search(model);
@@ -64,6 +69,11 @@
     holds("lease, pause before the write", &write());
 }
 
+#[test]
+fn what_was_promised_outlasts_no_exchange() {
+    holds("lease, pause before the write during a change", &promise());
+}
+
 #[test]
 fn removed_guards_of_grants_are_found() {
     finds(Mutation::GrantAfterVote, majority());
@@ -81,6 +91,7 @@
 #[test]
 fn removed_guards_of_a_change_are_found() {
     finds(Mutation::ProposalNotNeeded, change());
+    finds(Mutation::ProposeUnready, promise());
     finds(Mutation::OldSetDropped, change());
     finds(Mutation::VersionIgnored, change());
     finds(Mutation::DeathCountsAtOnce, death());
