Let an entry refuse by itself what a full member has just refused

Cause: processor time. Each refused request of a pool went to two members, each of a key to its owner, and back. Ruled out: a lost lease (no such refusal), servers that ramp up anew (capacity right afterwards is whole), a full pool of workers of the entry (same callers, two cores: p50 of critical 52 ms).

A queue that has just refused a request refuses another one of the same rank with no more time as well, so the entry remembers the refusal for a sixteenth of the time to come back, and refuses the like by itself. Tries within the budget go on as before.

--- a/acaciaring_core/examples/policy.rs
+++ b/acaciaring_core/examples/policy.rs
@@ -205,9 +205,9 @@
         "Deadlines: critical 250 ms, interactive 1 s, bulk 10 s, background 20 s; shares 10, 50, 30, 10 %.\n"
     );
     println!(
-        "| load | gate | retries | goodput /s | tries per request | critical good % p50/p99 ms | interactive | bulk | background |"
+        "| load | gate | retries | goodput /s | tries per request | tries at the gate per request | critical good % p50/p99 ms | interactive | bulk | background |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let retries = [
         ("none", Retries::Never),
         ("budget", Retries::Budget(RetrySettings::default())),
@@ -217,6 +217,8 @@
         for (name, retries) in &retries {
             let gate = Gate::Admission(AdmissionSettings::default());
             admission_row(seed, load, "admission", &gate, name, retries);
+            let gate = Gate::Remembered(AdmissionSettings::default());
+            admission_row(seed, load, "admission, entry remembers", &gate, name, retries);
         }
         admission_row(
             seed,
@@ -246,8 +248,12 @@
     let sum = |of: fn(&Tally) -> u32| tallies.iter().map(|tally| f64::from(of(tally))).sum::<f64>();
     let goodput = sum(|tally| tally.within) / MINUTE.as_secs_f64();
     let tries = sum(|tally| tally.tries) / sum(|tally| tally.requests);
+    let hops = sum(|tally| tally.hops) / sum(|tally| tally.requests);
     let cells: Vec<_> = tallies.iter_mut().map(cell).collect();
-    println!("| {load}x | {gate} | {name} | {goodput:.0} | {tries:.2} | {} |", cells.join(" | "));
+    println!(
+        "| {load}x | {gate} | {name} | {goodput:.0} | {tries:.2} | {hops:.2} | {} |",
+        cells.join(" | ")
+    );
 }
 
 fn cell(tally: &mut Tally) -> String {
--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod choice;
 pub mod dedup;
+pub mod full;
 pub mod heat;
 pub mod holds;
 mod id;
--- a/acaciaring_core/tests/admission.rs
+++ b/acaciaring_core/tests/admission.rs
@@ -293,3 +293,45 @@
     assert!(started >= 190, "{started} of 200 that fit");
     assert!(in_time * 10 >= started * 8, "{in_time} of {started} in time");
 }
+
+/// Plays a load at an upstream, at an entry with or without memory.
+fn flood(load: f64, remembers: bool) -> Vec<Tally> {
+    let streams = [
+        stream(Rank::Critical, 0.1 * load, 250),
+        stream(Rank::Interactive, 0.5 * load, 1_000),
+        stream(Rank::Bulk, 0.2 * load, 10_000),
+        stream(Rank::Background, 0.2 * load, 4_000),
+    ];
+    let settings = AdmissionSettings::default();
+    let gate = if remembers { Gate::Remembered(settings) } else { Gate::Admission(settings) };
+    run(7, &streams, &gate, &Retries::Always, SPAN)
+}
+
+fn sum(tallies: &[Tally], of: impl Fn(&Tally) -> u32) -> f64 {
+    tallies.iter().map(|tally| f64::from(of(tally))).sum()
+}
+
+// At month end three times as many requests come as the servers can run, and each refused caller
+// comes back when it is told. Without memory each of these tries goes to the full member, which
+// spends its processor on refusals. With it most of them end at the entry, and the server
+// does as much useful work in the same order of ranks.
+#[test]
+fn refusals_of_a_flood_end_at_the_entry() {
+    let (without, with) = (flood(3.0, false), flood(3.0, true));
+    let refused = |tallies: &[Tally]| sum(tallies, |tally| tally.hops - tally.good - tally.late);
+    println!("refused by the member: {} without, {} with", refused(&without), refused(&with));
+    let good = |tallies: &[Tally]| sum(tallies, |tally| tally.within);
+    println!("answered in time: {} without, {} with", good(&without), good(&with));
+    for (without, with) in without.iter().zip(&with) {
+        println!("{} of {} and {} of {}", without.good, without.requests, with.good, with.requests);
+    }
+    assert!(refused(&with) < 0.4 * refused(&without));
+    assert!(good(&with) > 0.98 * good(&without));
+    assert!(with[0].good >= without[0].good, "critical requests");
+}
+
+#[test]
+fn below_capacity_nothing_is_refused_at_the_entry() {
+    let tallies = flood(0.8, true);
+    assert!(sum(&tallies, |tally| tally.tries - tally.hops) < 1.0);
+}
--- a/acaciaring_core/tests/support/upstream.rs
+++ b/acaciaring_core/tests/support/upstream.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use acaciaring_core::admission::{Admission, AdmissionSettings, Ending, Offer, Ticket};
+use acaciaring_core::full::{FullQueues, Slack};
 use acaciaring_core::retry::{Failure, RetryBudget, RetryDecision, RetrySettings};
 use acaciaring_core::route::{Rank, Repeat};
-use acaciaring_core::{Reason, Refusal, Time};
+use acaciaring_core::{MemberId, Reason, Refusal, Time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -25,6 +26,8 @@
 #[derive(Debug, Clone)]
 pub enum Gate {
     Admission(AdmissionSettings),
+    /// The same behind an entry that remembers what was refused.
+    Remembered(AdmissionSettings),
     /// First in, first out, without bound; what is late runs all the same.
     Fifo {
         slots: usize,
@@ -53,6 +56,8 @@
     pub late: u32,
     /// Given up as not run.
     pub refused: u32,
+    /// Tries that went to the upstream's member; the others were refused at the entry.
+    pub hops: u32,
     /// Time to a good answer.
     pub latencies: Vec<Duration>,
 }
@@ -83,6 +88,9 @@
     Tick,
 }
 
+/// Member beside the upstream.
+const MEMBER: MemberId = MemberId(1);
+
 /// One run.
 pub struct Run {
     rng: StdRng,
@@ -92,6 +100,8 @@
     order: u64,
     requests: BTreeMap<u64, Request>,
     gate: Box<dyn Front>,
+    /// Memory of the one entry, if it has one.
+    full: Option<FullQueues>,
     retries: Retries,
     /// One budget per stream, so that failures of one rank don't use up another's.
     budgets: Vec<RetryBudget>,
@@ -126,8 +136,11 @@
             Retries::Budget(settings) => settings.clone(),
             Retries::Never | Retries::Always => RetrySettings::default(),
         };
+        let full = matches!(gate, Gate::Remembered(_)).then(FullQueues::default);
         let gate: Box<dyn Front> = match gate {
-            Gate::Admission(settings) => Box::new(Admission::new(settings.clone())),
+            Gate::Admission(settings) | Gate::Remembered(settings) => {
+                Box::new(Admission::new(settings.clone()))
+            }
             Gate::Fifo { slots } => {
                 Box::new(Fifo { slots: *slots, running: 0, queue: VecDeque::new() })
             }
@@ -140,6 +153,7 @@
             order: 0,
             requests: BTreeMap::new(),
             gate,
+            full,
             retries: retries.clone(),
             budgets: streams
                 .iter()
@@ -196,7 +210,21 @@
         self.tallies[request.stream].tries += 1;
         let deadline = request.arrived + stream.deadline;
         let ticket = Ticket { rank: stream.rank, deadline, last: deadline, attempt };
-        match self.gate.offer(now, ticket) {
+        let left = deadline.since(now);
+        let slack = Slack { rank: stream.rank, aim: left, left };
+        let retry = self.full.as_ref().and_then(|full| full.refuses(now, MEMBER, slack));
+        if let Some(retry) = retry {
+            let refusal = Refusal::not_run(Reason::Busy).after(retry);
+            return self.refused(now, attempt, refusal);
+        }
+        self.tallies[request.stream].hops += 1;
+        let offer = self.gate.offer(now, ticket);
+        if let (Offer::Refused(_, refusal), Some(full)) = (&offer, &mut self.full)
+            && let Refusal { reason: Reason::Busy, retry: Some(retry), .. } = *refusal
+        {
+            full.note(now, MEMBER, slack, retry);
+        }
+        match offer {
             Offer::Start(attempt) => self.start(now, attempt),
             Offer::Queued { displaced } => {
                 if let Some((attempt, refusal)) = displaced {
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -37,7 +37,7 @@
 use crate::ration::Ration;
 use crate::reader;
 use crate::recent::Recent;
-use crate::router::{Budgets, Lingerers, Outages, Router, Shares, Spans, Suspects};
+use crate::router::{Lingerers, Outages, Router, Shares, Spans, Suspects};
 use crate::view::Shared;
 use crate::web::{self, WebError};
 
@@ -154,11 +154,9 @@
             gate: Arc::clone(&gate),
             transport: transport.clone(),
             choice: Mutex::new(Choice::new(ChoiceSettings::default())),
-            budgets: Budgets::new(
-                options::retry_settings(settings),
-                options::common_budget(settings),
-            ),
+            budgets: options::budgets(settings),
             suspects: Suspects::default(),
+            full: Mutex::default(),
             outages: Outages::default(),
             metrics: metrics.clone(),
             lingerers: Lingerers::new(settings.entry.workers as usize / LINGERERS),
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -15,7 +15,7 @@
 use crate::gate::GateSettings;
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
-use crate::router::CommonBudget;
+use crate::router::{Budgets, CommonBudget};
 
 /// Room for headers and the like in a message between members, in bytes.
 const ENVELOPE: u64 = 256 << 10;
@@ -72,15 +72,12 @@
     }
 }
 
-/// Returns the settings of the retry budget.
-pub(super) fn retry_settings(settings: &Settings) -> RetrySettings {
-    RetrySettings { share: settings.limits.retry_ratio, ..RetrySettings::default() }
-}
-
-/// Returns the retries that all members together may make.
-pub(super) fn common_budget(settings: &Settings) -> CommonBudget {
+/// Returns the budgets of retries: of each class, and of all members together.
+pub(super) fn budgets(settings: &Settings) -> Budgets {
     let limits = &settings.limits;
-    CommonBudget { burst: limits.retry_burst.into(), window: limits.retry_window }
+    let retries = RetrySettings { share: limits.retry_ratio, ..RetrySettings::default() };
+    let common = CommonBudget { burst: limits.retry_burst.into(), window: limits.retry_window };
+    Budgets::new(retries, common)
 }
 
 /// Returns how heat is measured.
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -69,6 +69,8 @@
         RequestsRetried = "requests.retried", "tries";
         /// Tries that went to another member because the first did not own the key.
         RequestsRedirected = "requests.redirected", "tries";
+        /// Requests refused at the entry because the member had just refused such a one.
+        RequestsFull = "requests.full", "requests";
         /// Requests that were answered from the memory of requests that ran before.
         RequestsRepeated = "requests.repeated", "requests";
         /// Requests that the queue beside the upstream refused, being full.
--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -90,6 +90,9 @@
     async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Option<Answer>, Refusal> {
         let view = self.shared.view();
         let Some(target) = self.target(&view, plan, search) else { return Ok(None) };
+        if let Some(refusal) = self.refuse_full(clock::now(), plan, target) {
+            return Err(search.settle(refusal));
+        }
         self.count_try(search);
         search.tries += 1;
         search.hint = None;
@@ -101,6 +104,7 @@
             }
             Try::Refused { refusal, owner, .. } => {
                 self.suspects.clear(target);
+                self.note_full(plan, target, refusal);
                 search.refused(plan, refusal)?;
                 if refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed {
                     self.repeat(plan, search, refusal).await?;
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -11,11 +11,13 @@
 mod suspects;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use acaciaring_core::choice::Choice;
+use acaciaring_core::full::{FullQueues, Slack};
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
@@ -51,6 +53,9 @@
 /// When a caller may come back after its request could not reach an owner.
 const COME_BACK: Duration = Duration::from_millis(300);
 
+/// Part of the time that a member named after which those come back whom the entry refuses for it.
+const RETURN: Range<f64> = 0.75..1.25;
+
 /// Entry of one process.
 pub(crate) struct Router {
     pub(crate) shared: Arc<Shared>,
@@ -59,6 +64,8 @@
     pub(crate) choice: Mutex<Choice>,
     pub(crate) budgets: Budgets,
     pub(crate) suspects: Suspects,
+    /// What members refused a moment ago, being full.
+    pub(crate) full: Mutex<FullQueues>,
     pub(crate) outages: Outages,
     pub(crate) metrics: Metrics,
     pub(crate) lingerers: Lingerers,
@@ -90,6 +97,14 @@
     last: AtomicU64,
 }
 
+impl Plan {
+    /// Returns the time that the request has, as a queue looks at it.
+    fn slack(&self, now: Time) -> Slack {
+        let left = self.deadline.since(now);
+        Slack { rank: self.class.rank, aim: self.aim.map_or(left, |aim| aim.since(now)), left }
+    }
+}
+
 impl Router {
     /// Answers a caller's request; when the future is dropped, its work is cancelled.
     pub(crate) async fn handle(&self, request: EntryRequest) -> EntryAnswer {
@@ -284,6 +299,47 @@
 }
 
 impl Router {
+    /// Notes that another member refused a request because its queue was full.
+    ///
+    /// The time that is left by now is less than what the member looked at, so the memory holds for
+    /// fewer requests than it might, never for more.
+    fn note_full(&self, plan: &Plan, target: MemberId, refusal: Refusal) {
+        let Refusal { reason: Reason::Busy, retry: Some(retry), .. } = refusal else { return };
+        if self.shared.view().me != Some(target) {
+            let now = clock::now();
+            self.full.lock().note(now, target, plan.slack(now), retry);
+        }
+    }
+
+    /// Returns the refusal of a request whose owner would refuse it, being full.
+    fn refuse_full(&self, now: Time, plan: &Plan, owner: MemberId) -> Option<Refusal> {
+        let retry = self.full.lock().refuses(now, owner, plan.slack(now))?;
+        plan.last.store(owner.0, Ordering::Relaxed);
+        Some(self.full_refusal(retry))
+    }
+
+    /// Takes out the members that would refuse a request, being full.
+    ///
+    /// Returns their refusal when only members are left that were tried.
+    fn retain_open(
+        &self,
+        now: Time,
+        plan: &Plan,
+        members: &mut Vec<MemberId>,
+        tried: &[MemberId],
+    ) -> Option<Refusal> {
+        let retry = self.full.lock().retain(now, members, plan.slack(now));
+        let over = members.iter().all(|member| tried.contains(member));
+        retry.filter(|_| over).map(|retry| self.full_refusal(retry))
+    }
+
+    /// Returns the refusal of a request that is not sent on; refused alike, callers would return together.
+    fn full_refusal(&self, retry: Duration) -> Refusal {
+        self.metrics.count(Counter::RequestsFull, 1);
+        let retry = retry.mul_f64(rand::rng().random_range(RETURN));
+        Refusal::not_run(Reason::Busy).after(retry)
+    }
+
     /// Makes a try at another member.
     async fn hop(&self, address: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
         let start = clock::now();
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -29,23 +29,40 @@
         let mut progress = Progress::default();
         loop {
             let view = self.shared.view();
-            let candidates = candidates(&view, plan);
+            let mut candidates = members(&view, plan);
             let now = clock::now();
-            let Some(target) = self.choose(now, &candidates, &progress.tried) else {
-                return Err(progress.settle(self.none(now, &candidates)));
+            let full = self.retain_open(now, plan, &mut candidates, &progress.tried);
+            let refusal = if let Some(refusal) = full {
+                refusal
+            } else {
+                let Some(target) = self.choose(now, &candidates, &progress.tried) else {
+                    return Err(progress.settle(self.none(now, &candidates)));
+                };
+                progress.tried.push(target);
+                match self.ask(plan, &view, target).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(refusal) => refusal,
+                }
             };
-            let refusal = match self.timed(plan, &view, target).await {
-                Try::Whole(answer) => return Ok(answer),
-                Try::Refused { refusal, .. } => refusal,
-                Try::Undelivered => Refusal::not_run(Reason::Unreachable).after(COME_BACK),
-                Try::Lost => Refusal::unknown(Reason::LostAnswer),
-            };
-            progress.note(target, refusal);
+            progress.note(refusal);
             self.again(plan, &candidates, refusal, &mut progress).await?;
             self.metrics.count(Counter::RequestsRetried, 1);
         }
     }
 
+    /// Makes a try at a member and remembers what it refuses.
+    async fn ask(&self, plan: &Plan, view: &View, target: MemberId) -> Result<Answer, Refusal> {
+        match self.timed(plan, view, target).await {
+            Try::Whole(answer) => Ok(answer),
+            Try::Refused { refusal, .. } => {
+                self.note_full(plan, target, refusal);
+                Err(refusal)
+            }
+            Try::Undelivered => Err(Refusal::not_run(Reason::Unreachable).after(COME_BACK)),
+            Try::Lost => Err(Refusal::unknown(Reason::LostAnswer)),
+        }
+    }
+
     /// Makes a try and lets the choice learn from it.
     async fn timed(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
         let flight = Flight::new(self, target);
@@ -100,8 +117,7 @@
 }
 
 impl Progress {
-    fn note(&mut self, target: MemberId, refusal: Refusal) {
-        self.tried.push(target);
+    fn note(&mut self, refusal: Refusal) {
         self.tries += 1;
         self.unseen += u32::from(!arrived(refusal));
         self.lost |= refusal.verdict == Verdict::Unknown;
@@ -179,7 +195,7 @@
     }
 }
 
-fn candidates(view: &View, plan: &Plan) -> Vec<MemberId> {
+fn members(view: &View, plan: &Plan) -> Vec<MemberId> {
     let members = view.state.members_of(&plan.route.workspace);
     members.filter(|member| member.alive()).map(id).collect()
 }
