Try members that look slow again after sixteen of their latencies

shed::a_cold_upstream_gets_little_at_first failed once here beside other work (16 of 111 runs in the first second; it allows 16 of 112). Cause: its three servers were cold themselves, so the load was above what all could carry, and the bound was met by one run of a request. The test now waits until the three are warm and asks for a twelfth instead of a sixth.

A member is now tried after sixteen of its latencies whatever it costs, and an answer counts by the time since the one before.

Ruled out: a shorter fade, which would send more to members that stay slow.

--- a/acaciaring_core/src/choice.rs
+++ b/acaciaring_core/src/choice.rs
@@ -2,7 +2,7 @@
 //!
 //! Of two members drawn at random the one with the lower expected cost is taken: load times latency.
 //! Load comes from reports of the process beside the upstream, which lag, so requests sent since the
-//! report are added. Health and load endpoints of upstreams play no part, they mislead.
+//! report are added. One that was not tried for long is tried whatever it costs. Health and load endpoints of upstreams play no part, they mislead.
 
 mod peer;
 
@@ -104,7 +104,7 @@
 
     /// Notes that a request goes to a member.
     pub fn sent(&mut self, now: Time, member: MemberId) {
-        self.peer(now, member).sent();
+        self.peer(now, member).sent(now);
     }
 
     /// Notes how a request ended; to be called once for each [`Choice::sent`].
@@ -136,11 +136,24 @@
         };
         let second = pick(rng, candidates, |id| *id != first && open(id));
         match second {
-            Some(second) if self.cost(now, second) < self.cost(now, first) => Some(second),
+            Some(second) if self.prefers(now, second, first) => Some(second),
             _ => Some(first),
         }
     }
 
+    /// Returns true when a member is to get the next request rather than another one.
+    fn prefers(&self, now: Time, one: MemberId, other: MemberId) -> bool {
+        match (self.due(now, one), self.due(now, other)) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => self.cost(now, one) < self.cost(now, other),
+        }
+    }
+
+    fn due(&self, now: Time, member: MemberId) -> bool {
+        self.peers.get(&member).is_some_and(|peer| peer.due(now, &self.settings, self.latency))
+    }
+
     /// Returns when the first of the candidates that ask to be left alone may be tried again.
     #[must_use]
     pub fn opening(&self, now: Time, candidates: &[MemberId]) -> Option<Duration> {
--- a/acaciaring_core/src/choice/peer.rs
+++ b/acaciaring_core/src/choice/peer.rs
@@ -8,6 +8,12 @@
 /// Weight of a new latency in the smoothed one.
 const LATENCY_WEIGHT: f64 = 1.0 / 8.0;
 
+/// Time without a try after which a member is tried whatever it costs, in its latencies.
+///
+/// A try at a slow member costs one caller its latency, so that an entry spends a sixteenth of one
+/// caller's time on it at most, however slow it is.
+const TRY_AGAIN: u32 = 16;
+
 /// Most doublings of the quarantine.
 const DOUBLINGS: u32 = 10;
 
@@ -24,6 +30,8 @@
     /// Smoothed latency in seconds, none before the first answer.
     latency: Option<f64>,
     measured: Time,
+    /// When a request was last sent there.
+    tried: Time,
     cold: Option<Time>,
     alone: Time,
     quarantine: Time,
@@ -40,6 +48,7 @@
             flying: 0.0,
             latency: None,
             measured: now,
+            tried: now,
             cold: cold.then_some(now),
             alone: Time::ZERO,
             quarantine: Time::ZERO,
@@ -58,7 +67,8 @@
         self.alone = self.alone.max(until);
     }
 
-    pub(super) fn sent(&mut self) {
+    pub(super) fn sent(&mut self, now: Time) {
+        self.tried = now;
         self.since += 1.0;
         self.flying += 1.0;
     }
@@ -86,10 +96,22 @@
         // The new sample joins what is left of the old value. Joined to the old value itself, the one
         // request that tries a member again would bring back the slowness that had faded.
         let latency = self.latency(now, settings, typical);
-        self.latency = Some(latency + LATENCY_WEIGHT * (took - latency));
+        // Seldom tried, a member that was cold would look slow long after it has become warm.
+        let age = now.since(self.measured);
+        let share = LATENCY_WEIGHT.max(1.0 - weight(age, settings.half_life));
+        self.latency = Some(latency + share * (took - latency));
         self.measured = now;
     }
 
+    /// Returns true when the member was not tried for so long that it is to be tried again.
+    ///
+    /// Guards against a newcomer that was slow while its caches were cold: as long as the others
+    /// carry the load nothing is sent there, so nothing shows that it has become fast.
+    pub(super) fn due(&self, now: Time, settings: &ChoiceSettings, typical: f64) -> bool {
+        let latency = Duration::from_secs_f64(self.latency(now, settings, typical));
+        now.since(self.tried) >= latency * TRY_AGAIN
+    }
+
     /// Returns the smoothed latency in seconds.
     ///
     /// A latency nobody confirms fades. Else a member that was slow once would never be tried again.
--- a/acaciaring_core/tests/choice.rs
+++ b/acaciaring_core/tests/choice.rs
@@ -15,6 +15,12 @@
     choice: Choice,
     rng: StdRng,
     now: Time,
+    /// Milliseconds between two requests.
+    gap: u64,
+    /// True when members report with each answer; else every 100 ms and on nothing else.
+    answers: bool,
+    /// Requests that each member runs at once.
+    slots: BTreeMap<MemberId, u32>,
     /// Answer time of each member, in milliseconds; none when it fails at once.
     speeds: BTreeMap<MemberId, Option<u64>>,
     /// When requests in flight end.
@@ -28,29 +34,36 @@
             choice: Choice::new(ChoiceSettings::default()),
             rng: StdRng::seed_from_u64(5),
             now: Time::ZERO,
+            gap: 1,
+            answers: false,
+            slots: MEMBERS.map(|id| (id, 20)).into(),
             speeds: MEMBERS.map(|id| (id, Some(20))).into(),
             flying: Vec::new(),
             counts: BTreeMap::new(),
         }
     }
 
-    /// Sends a request each millisecond; members report every 100 ms and on nothing else.
+    /// Sends requests at the set pace.
     fn play(&mut self, millis: u64) -> BTreeMap<MemberId, u32> {
         self.counts.clear();
-        for _ in 0..millis {
+        for milli in 0..millis {
             self.now = self.now + Duration::from_millis(1);
             self.land();
-            if self.now.since_start().as_millis().is_multiple_of(100) {
-                for id in MEMBERS {
-                    let busy = self.flying.iter().filter(|(_, member, _)| *member == id).count();
-                    self.choice.report(self.now, id, u32::try_from(busy).unwrap(), 20);
-                }
+            if !self.answers && self.now.since_start().as_millis().is_multiple_of(100) {
+                MEMBERS.iter().for_each(|id| self.report(*id));
+            }
+            if milli.is_multiple_of(self.gap) {
+                self.send();
             }
-            self.send();
         }
         self.counts.clone()
     }
 
+    fn report(&mut self, id: MemberId) {
+        let busy = self.flying.iter().filter(|(_, member, _)| *member == id).count();
+        self.choice.report(self.now, id, u32::try_from(busy).unwrap(), self.slots[&id]);
+    }
+
     fn land(&mut self) {
         let now = self.now;
         let (landed, flying) = self.flying.drain(..).partition(|(end, ..)| *end <= now);
@@ -58,6 +71,9 @@
         let landed: Vec<_> = landed;
         for (_, member, took) in landed {
             self.choice.done(now, member, Sent::Answered(took));
+            if self.answers {
+                self.report(member);
+            }
         }
     }
 
@@ -145,6 +161,25 @@
     assert!((warm - 0.25).abs() < 0.03, "{warm}");
 }
 
+// A server joins with cold caches: it has two slots and answers ten times slower than the others, which
+// carry the load by themselves. Seconds later it is warm, and nobody finds out: nothing is sent to what looks slow.
+// It is tried now and then, seldom enough that few callers wait for it.
+#[test]
+fn a_newcomer_that_was_slow_while_cold_is_used_soon() {
+    let mut fleet = Fleet { gap: 4, answers: true, ..Fleet::new() };
+    fleet.speeds.insert(MEMBERS[0], Some(200));
+    fleet.slots.insert(MEMBERS[0], 2);
+    fleet.play(1_000);
+    let cold = share(&fleet.play(3_000), MEMBERS[0]);
+    fleet.speeds.insert(MEMBERS[0], Some(20));
+    fleet.slots.insert(MEMBERS[0], 20);
+    fleet.play(4_000);
+    let warm = share(&fleet.play(2_000), MEMBERS[0]);
+    println!("share {cold} while cold, {warm} from the fourth second on");
+    assert!(cold < 0.05, "{cold}");
+    assert!(warm > 0.15, "{warm}");
+}
+
 // A server that sheds load asks for two seconds of peace. It gets none until then, not even when all
 // others fail; a request that can go nowhere is refused rather than sent there.
 #[test]
--- a/acaciaringd/tests/shed.rs
+++ b/acaciaringd/tests/shed.rs
@@ -87,8 +87,10 @@
 #[test]
 fn a_cold_upstream_gets_little_at_first() {
     let upstream = UpstreamOptions { cold: Duration::from_secs(4), ..small(8, 40).upstream };
+    let cold = upstream.cold;
     let mut cluster = pooled(ClusterOptions { upstream, ..small(8, 40) }, 3, "");
-    thread::sleep(Duration::from_secs(1));
+    // The three are to be warm, else the load is above what all of them can carry.
+    thread::sleep(cold + Duration::from_secs(1));
     let mut load = stream(&cluster, "query", "/quality-lab/query", 400.0, 71);
     load.duration = 8000;
     load.threads = 48;
@@ -103,7 +105,7 @@
     let others: usize =
         cluster.vms[..3].iter().map(|vm| within(&vm.runs(), first, 1_000_000)).sum();
     println!("first second {early} of {}, last {late}; {:?}", early + others, figures.told);
-    assert!(early * 6 < others, "{early} at the newcomer, {others} at three others");
+    assert!(early * 12 < others, "{early} at the newcomer, {others} at three others");
     assert!(late > early, "{late} in its last second, {early} in its first");
     let refused = figures.sent.len() - answered(&figures);
     assert!(refused * 100 <= figures.sent.len(), "{:?}", figures.reasons);
