Name each late answer in the entry's log; ask the state whether a member lives

A request that was answered late could not be found by its id: the histograms of its class were all that was there. The entry now writes `request answered late` with how late it was, the member and how full that was, ten a second at most.

"Known and not dead" stood four times in the same words in the control thread; State::lives serves all. An upstream that is leaving was reported to others with each of its reports; now once, when the identity begins to end. Behaviour is the same otherwise. Left as they are: the two walks over all units while a member leaves, and the look for better lessors with each grant; neither was measured.

--- a/acaciaring_core/src/state/mod.rs
+++ b/acaciaring_core/src/state/mod.rs
@@ -62,6 +62,12 @@
         self.members.get(&id)
     }
 
+    /// Returns true for a member that is known and not dead.
+    #[must_use]
+    pub fn lives(&self, id: MemberId) -> bool {
+        self.member(id).is_some_and(|member| member.phase != Phase::Dead)
+    }
+
     /// Returns all members in order of joining.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/acaciaring_core/tests/choice.rs
+++ b/acaciaring_core/tests/choice.rs
@@ -50,7 +50,9 @@
             self.now = self.now + Duration::from_millis(1);
             self.land();
             if !self.answers && self.now.since_start().as_millis().is_multiple_of(100) {
-                MEMBERS.iter().for_each(|id| self.report(*id));
+                for id in MEMBERS {
+                    self.report(id);
+                }
             }
             if milli.is_multiple_of(self.gap) {
                 self.send();
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -7,7 +7,7 @@
 use acaciaring_core::balance::{self, BalanceSettings, Candidate, History, Load, Plan};
 use acaciaring_core::heat::Heat;
 use acaciaring_core::route::Weights;
-use acaciaring_core::state::{Member, Phase, Service, State};
+use acaciaring_core::state::{Member, Service, State};
 use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Handoff, Merge, Split, Switchover, Unit, record};
 use acaciaring_schema::peer::{Datagram, Loads, datagram};
@@ -185,10 +185,8 @@
             self.balance.services.insert(member, service);
         }
         let state = &self.state;
-        let lives =
-            |id: &MemberId| state.member(*id).is_some_and(|member| member.phase != Phase::Dead);
-        self.balance.loads.retain(|id, _| lives(id));
-        self.balance.leaving.retain(lives);
+        self.balance.loads.retain(|id, _| state.lives(*id));
+        self.balance.leaving.retain(|id| state.lives(*id));
         let loads = &self.balance.loads;
         self.balance.services.retain(|id, _| loads.contains_key(id));
     }
--- a/acaciaringd/src/control/identity.rs
+++ b/acaciaringd/src/control/identity.rs
@@ -79,7 +79,10 @@
     }
 
     /// Begins the end of this identity; a stop of the process replaces other reasons but a lost lease.
-    pub(crate) fn retire(&mut self, now: Time, reason: Retiring) {
+    ///
+    /// Returns true when the end had not begun before.
+    pub(crate) fn retire(&mut self, now: Time, reason: Retiring) -> bool {
+        let begins = self.retiring.is_none();
         match self.retiring {
             None => {
                 self.retiring = Some(reason);
@@ -88,5 +91,6 @@
             Some(Retiring::Upstream) if reason == Retiring::Stop => self.retiring = Some(reason),
             Some(_) => {}
         }
+        begins
     }
 }
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -162,11 +162,10 @@
                 continue;
             }
             if member.id == me {
-                let alive = |id| state.member(id).is_some_and(|other| other.phase != Phase::Dead);
                 if idle(&state, me) {
                     identity.holder.reset(member.version, &member.lessors);
                 } else {
-                    identity.holder.install(member.version, &member.lessors, alive);
+                    identity.holder.install(member.version, &member.lessors, |id| state.lives(id));
                 }
             } else if member.lessors.contains(&me) {
                 identity.lessor.learn(now, member.id, member.version);
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -40,7 +40,9 @@
             return;
         }
         match &mut self.identity {
-            Some(identity) => identity.retire(now, Retiring::Stop),
+            Some(identity) => {
+                identity.retire(now, Retiring::Stop);
+            }
             None => self.proposals.clear(),
         }
         self.report_leaving();
@@ -107,8 +109,8 @@
     /// Takes the upstream out: its units pass to others and this process joins anew without it.
     pub(super) fn detach(&mut self, now: Time) {
         let attached = self.attachment().is_some();
-        if let Some(identity) = self.identity.as_mut().filter(|_| attached) {
-            identity.retire(now, Retiring::Upstream);
+        let identity = self.identity.as_mut().filter(|_| attached);
+        if identity.is_some_and(|identity| identity.retire(now, Retiring::Upstream)) {
             self.report_leaving();
         }
     }
@@ -119,8 +121,8 @@
     /// is refused by its lessors. Either way nothing is served: the lease is over.
     fn watch_lease(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
-        let dead = self.state.member(identity.me).is_none_or(|member| member.phase == Phase::Dead);
-        let alive = |id| self.state.member(id).is_some_and(|member| member.phase != Phase::Dead);
+        let dead = !self.state.lives(identity.me);
+        let alive = |id| self.state.lives(id);
         let holder = &identity.holder;
         let lost = holder.refused() || holder.abandoned(now) || holder.orphaned(now, alive);
         if identity.retiring.is_none() && (dead || lost) {
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -48,6 +48,9 @@
 /// requests that a machine refuses in an overload.
 const LINES: u32 = 20;
 
+/// Lines a second about requests that were answered late, which cost their callers less.
+const LATE_LINES: u32 = 10;
+
 /// Longest wait for callers' requests after the hand-over.
 const ENTRY_DRAIN: Duration = Duration::from_secs(5);
 
@@ -164,6 +167,7 @@
             spans: Spans::default(),
             declarations: Arc::clone(&declarations),
             lines: Ration::new(LINES),
+            late: Ration::new(LATE_LINES),
             pulse: Pulse::start(transport.runtime()),
         };
         let admin = MemberAdmin {
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -21,7 +21,7 @@
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
-use acaciaring_schema::peer::Request;
+use acaciaring_schema::peer::{Answer, Request};
 use parking_lot::Mutex;
 use rand::Rng;
 use tracing::{debug, info};
@@ -76,6 +76,8 @@
     pub(crate) declarations: Arc<Declarations>,
     /// Bound on the lines about requests without an answer.
     pub(crate) lines: Ration,
+    /// Bound on the lines about requests that were answered late.
+    pub(crate) late: Ration,
     /// How late this process is.
     pub(crate) pulse: Arc<Pulse>,
 }
@@ -170,6 +172,28 @@
         self.metrics.count(counter, 1);
     }
 
+    /// Writes a line for a request that was answered after its time, within the bound of such lines.
+    fn note_late(&self, plan: &Plan, answer: &Answer) {
+        let now = clock::now();
+        let Some(aim) = plan.aim.filter(|aim| now > *aim) else { return };
+        let Some(left_out) = self.late.admit(now) else { return };
+        info!(
+            request = plan.label,
+            service = &*plan.route.workspace,
+            class = &*plan.class.name,
+            key = plan.key.map(|key| key.0),
+            tries = plan.tries.load(Ordering::Relaxed),
+            member = plan.last.load(Ordering::Relaxed),
+            took_ms = wire::millis(now.since(plan.received)),
+            late_ms = wire::millis(now.since(aim)),
+            busy = answer.busy,
+            capacity = answer.capacity,
+            applied = self.shared.view().state.next(),
+            left_out,
+            "request answered late"
+        );
+    }
+
     fn plan(&self, mut request: EntryRequest) -> Result<Plan, EntryAnswer> {
         let lag = self.pulse.lag();
         let read = request.received.since_start();
@@ -263,7 +287,10 @@
             Division::Pooled => self.pooled(plan).await,
         };
         match answer {
-            Ok(answer) => whole(answer),
+            Ok(answer) => {
+                self.note_late(plan, &answer);
+                whole(answer)
+            }
             Err(refusal) => {
                 let refusal = come_back(refusal);
                 self.note(plan, refusal);
