Move nothing to a member whose process is about to be started again

At 12.89 and 13.94 s three owners moved 239, 303 and 418 units: the member that was about to end had hardly any requests and looked idle. What moved had no server until 15.3 to 17 s.

A member that leaves for good already says so and gets no units; one that is to be started again beside its upstream did not. It now says so at once, in the same field. The test has two servers, one idle and about to start again, one crowded: without the change two plans of moves in two seconds, with it none.

Ruled out: the releases to a process that has just joined (127 to 240 units each from three members) are those of standbys of its own units, not moves.

--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -98,7 +98,8 @@
         let (busy, capacity) = self.parts.gate.load();
         let service = self.parts.gate.mean_time().as_micros();
         let service = u32::try_from(service).unwrap_or(0);
-        let (rate, leaving) = (self.parts.gate.rate(), identity.retiring.is_some());
+        let rate = self.parts.gate.rate();
+        let leaving = self.pausing || identity.retiring.is_some();
         let loads = Loads { member: me.0, rate, busy, capacity, service, leaving };
         let datagram = Datagram { body: Some(datagram::Body::Loads(loads)) };
         let units = self.state.services().flat_map(Service::units);
@@ -120,7 +121,9 @@
     /// Tells the owners at once that no unit should move to this member any more.
     ///
     /// Guards against a leaving member that never gets away: it leaves once it serves all that it
-    /// owns, and others that do not know of it yet move further units to it meanwhile.
+    /// owns, and others that do not know of it yet move further units to it meanwhile. And against
+    /// one whose process is about to be started again: it takes no more requests, so that it looks
+    /// idle, and what moved to it would have no server until the next process has joined.
     pub(super) fn report_leaving(&mut self) {
         self.balance.reported = Time::ZERO;
         self.duties = Time::ZERO;
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -36,6 +36,7 @@
         self.stopping.get_or_insert(now);
         self.parts.shared.stopping.store(true, Ordering::Release);
         self.pausing = self.resumable();
+        self.report_leaving();
         if self.pausing {
             return;
         }
@@ -45,7 +46,6 @@
             }
             None => self.proposals.clear(),
         }
-        self.report_leaving();
     }
 
     /// Returns true when the process may exit.
