Reject the leaving of a member that has not read what it owns

Cause, found by reading and then by the model: a Leave names no versions. Of two members that leave at the same moment one may stand by for the other. The first record makes it the owner, with the first member as the one whose release it waits for. Its own record, proposed before it read that, makes it the former owner in turn. It never served the unit, releases it at once to the third member, and nobody waits for the first any more. The check before the proposal (serve all that you own) cannot see it.

The model let only owners leave.

Mended: Leave states the first offset that its member had not read, and is rejected while the member owns a unit by a later record; it leaves again once it serves. A member that has proposed to leave takes over nothing as a standby, under no version, until the record is rejected.

All members must run the same version: the field is new, and a record without it is rejected where its member owns anything.

--- a/acaciaring_core/examples/fold_cost.rs
+++ b/acaciaring_core/examples/fold_cost.rs
@@ -185,7 +185,7 @@
 
     fn leave(&mut self, run: usize) -> Duration {
         let member = self.ids[self.ids.len() - 1 - run];
-        let time = self.fold(Body::Leave(Leave { member }));
+        let time = self.fold(Body::Leave(Leave { member, applied: self.state.next() }));
         self.fold(Body::Exit(Exit { member }));
         time
     }
--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -61,6 +61,8 @@
     received: BTreeMap<(Key, MemberId), Offset>,
     /// Version under which this process has given its standby role away.
     renounced: BTreeMap<Key, Offset>,
+    /// True from the proposal of a record by which this process leaves until that is rejected.
+    leaving: bool,
     /// Slots for which a split or merge has been appended and is not settled.
     changing: BTreeSet<(Name, Slot)>,
 }
@@ -120,6 +122,21 @@
         }
     }
 
+    /// Notes that this process is about to append a record by which it leaves.
+    ///
+    /// From then on it takes over nothing as a standby, whatever the version. Failure: it renounces its
+    /// roles under the versions that it knows, the eviction of an owner raises one of these, and it
+    /// takes over from an owner that has released to it; the record then gives its role away, and
+    /// that owner serves again, having nobody to whom it has released.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes that back; to be called only when the record is rejected for sure.
+    pub fn stay(&mut self) {
+        self.leaving = false;
+    }
+
     /// Notes that a split or merge within a slot is about to be appended.
     pub fn change(&mut self, workspace: &Name, slot: Slot) {
         self.changing.insert((workspace.clone(), slot));
@@ -242,7 +259,8 @@
         assignment: &Assignment,
         expired: impl Fn(MemberId) -> bool,
     ) -> bool {
-        let renounced = self.renounced.get(key).is_some_and(|v| *v >= assignment.version);
+        let version = assignment.version;
+        let renounced = self.leaving || self.renounced.get(key).is_some_and(|v| *v >= version);
         // Once it has taken over, a standby goes on over changes of version: the
         // owner is lost or bound by its release while the standby is the same.
         // After a switchover back the standby itself is `prior` and must stop, and it is
--- a/acaciaring_core/src/state/members.rs
+++ b/acaciaring_core/src/state/members.rs
@@ -5,7 +5,7 @@
 use acaciaring_schema::log;
 
 use super::succession::Departure;
-use super::{Attachment, Member, Phase, Rejection, State, majority};
+use super::{Assignment, Attachment, Member, Phase, Rejection, Service, State, majority};
 use crate::id::{MemberId, Name, Offset};
 
 /// Most dead members that are remembered, the latest to die.
@@ -87,8 +87,20 @@
         Ok(())
     }
 
+    /// Lets a member leave that has read of all that it owns.
+    ///
+    /// Guards against two members that leave together, one of which stands by for the other: the
+    /// first record makes the second member the owner, which has to wait for the first one's
+    /// release. Its own record, proposed before it read that, would make it the former owner of
+    /// units that it never served, nobody would wait for the first member any more, and two
+    /// upstreams would hold one key. The record is rejected, and the member leaves once it serves.
     pub(super) fn leave(&mut self, offset: Offset, leave: log::Leave) -> Result<(), Rejection> {
         let id = self.alive(leave.member)?;
+        let unread = |a: &Assignment| a.owner == Some(id) && a.token >= leave.applied;
+        let found = self.services.values().flat_map(Service::units).find(|(_, a)| unread(a));
+        if let Some((_, assignment)) = found {
+            return Err(Rejection::Conflict { current: assignment.version });
+        }
         let Some(member) = self.members.get_mut(&id) else { return Err(unknown(id)) };
         member.phase = Phase::Leaving;
         self.counts.detach(member);
--- a/acaciaring_core/tests/fold/members.rs
+++ b/acaciaring_core/tests/fold/members.rs
@@ -164,7 +164,7 @@
     let mut log = Log::with_members(6);
     let ids: Vec<_> = log.state.members().map(|member| member.id).collect();
     let version = log.state.member(ids[0]).expect("known").version;
-    log.applied(Body::Leave(Leave { member: ids[5].0 }));
+    log.applied(Body::Leave(Leave { member: ids[5].0, applied: log.state.next() }));
     for set in [&ids[1..1], &ids[1..5], &ids[0..2], &[ids[1], ids[1]], &[ids[5]], &[MemberId(99)]] {
         assert_eq!(log.rejected(lessors(ids[0], version, set)), Rejection::Lessors);
     }
@@ -237,9 +237,12 @@
     let workspace = "other".to_owned();
     let other = Attach { member: ids[0].0, workspace, ..Attach::default() };
     assert_eq!(log.rejected(Body::Attach(other)), Rejection::Attachment);
-    log.applied(Body::Leave(Leave { member: ids[0].0 }));
+    log.applied(Body::Leave(Leave { member: ids[0].0, applied: log.state.next() }));
     let gone = Rejection::Gone { member: ids[0] };
-    assert_eq!(log.rejected(Body::Leave(Leave { member: ids[0].0 })), gone);
+    assert_eq!(
+        log.rejected(Body::Leave(Leave { member: ids[0].0, applied: log.state.next() })),
+        gone
+    );
     assert_eq!(log.rejected(attach(ids[0])), gone);
     assert!(log.state.members_of("contracts").all(|member| member.id != ids[0]));
     log.applied(exit(ids[0]));
--- a/acaciaring_core/tests/fold/properties.rs
+++ b/acaciaring_core/tests/fold/properties.rs
@@ -76,7 +76,7 @@
             let units = vec![Unit { slot: hot.slot, key: Some(key.0), version }];
             Body::Merge(Merge { member: wire(hot.assignment.owner), workspace, units })
         }
-        25 => Body::Leave(Leave { member: pick(one)?.0 }),
+        25 => Body::Leave(Leave { member: pick(one)?.0, applied: known.next() }),
         26 => Body::Exit(Exit { member: pick(one)?.0 }),
         27 | 28 => log.evict(pick(one)?),
         29 => {
--- a/acaciaring_core/tests/fold/resume.rs
+++ b/acaciaring_core/tests/fold/resume.rs
@@ -1,6 +1,6 @@
 //! Processes that take the place of a former one, and services that an assignment makes.
 
-use acaciaring_core::state::{Phase, State};
+use acaciaring_core::state::{Phase, Rejection, State};
 use acaciaring_core::{KeyHash, MemberId, UnitId};
 use acaciaring_schema::log::record::Body;
 use acaciaring_schema::log::{Assign, Attach, Join, Leave, Switchover};
@@ -117,7 +117,7 @@
 #[test]
 fn a_later_process_owes_the_releases_of_the_former_one() {
     let (mut log, members) = service(3, 64);
-    log.applied(Body::Leave(Leave { member: members[0].0 }));
+    log.applied(Body::Leave(Leave { member: members[0].0, applied: log.state.next() }));
     let later = start(&mut log, "a", "i-a");
     let service = log.state.service(BOOKS).expect("founded");
     let owing = service.units().filter(|(_, a)| a.prior == Some(later)).count();
@@ -125,6 +125,28 @@
     assert!(service.units().all(|(_, a)| a.prior != Some(members[0])));
 }
 
+/// Two servers leave at the same moment, one of which stands by for the other. The first record makes the
+/// second one the owner, which has not read it when its own record is appended: taken as it is, the
+/// unit would go on to a third one that waits for the second only, while the first still holds it.
+#[test]
+fn a_member_that_has_not_read_what_it_owns_does_not_leave() {
+    let (mut log, members) = service(3, 64);
+    let slots = &log.state.service(BOOKS).expect("founded").slots;
+    let slot = slots.iter().position(|a| a.owner == Some(members[0])).expect("it owns some");
+    let second = slots[slot].standby.expect("a standby");
+    let read = log.state.next();
+    log.applied(Body::Leave(Leave { member: members[0].0, applied: read }));
+    let between = log.state.service(BOOKS).expect("founded").slots[slot];
+    assert_eq!((between.owner, between.prior), (Some(second), Some(members[0])));
+    let leave = log.rejected(Body::Leave(Leave { member: second.0, applied: read }));
+    assert!(matches!(leave, Rejection::Conflict { .. }), "{leave:?}");
+    assert_eq!(log.state.service(BOOKS).expect("founded").slots[slot], between);
+    let read = log.state.next();
+    log.applied(Body::Leave(Leave { member: second.0, applied: read }));
+    let after = log.state.service(BOOKS).expect("founded").slots[slot];
+    assert_eq!(after.prior, Some(second));
+}
+
 /// The owner passes on what it serves. It has had the rival's release by then, so nobody waits
 /// for the rival any more.
 #[test]
--- a/acaciaring_core/tests/fold/snapshots.rs
+++ b/acaciaring_core/tests/fold/snapshots.rs
@@ -21,7 +21,7 @@
     let ids: Vec<_> = log.state.members().map(|member| member.id).collect();
     log.applied(log.evict(ids[6]));
     log.applied(log.evict(ids[2]));
-    log.applied(Body::Leave(Leave { member: ids[4].0 }));
+    log.applied(Body::Leave(Leave { member: ids[4].0, applied: log.state.next() }));
     log.entry(vec![0xff]);
     log
 }
--- a/acaciaring_core/tests/fold/units.rs
+++ b/acaciaring_core/tests/fold/units.rs
@@ -64,7 +64,7 @@
     let ids: Vec<_> = log.state.members().map(|member| member.id).collect();
     log.applied(log.evict(ids[5]));
     check_spread(&log);
-    log.applied(Body::Leave(Leave { member: ids[2].0 }));
+    log.applied(Body::Leave(Leave { member: ids[2].0, applied: log.state.next() }));
     check_spread(&log);
 }
 
@@ -85,10 +85,10 @@
     assert!(log.service().slots.iter().all(|a| a.standby == Some(ids[0])));
     log.applied(Body::Exit(Exit { member: ids[0].0 }));
     assert!(log.service().slots.iter().all(|a| a.standby == Some(third)));
-    log.applied(Body::Leave(Leave { member: third.0 }));
+    log.applied(Body::Leave(Leave { member: third.0, applied: log.state.next() }));
     assert!(log.service().slots.iter().all(|a| a.standby.is_none()));
     // Nobody takes over from the last member, so it stays the owner until it can switch over.
-    log.applied(Body::Leave(Leave { member: ids[1].0 }));
+    log.applied(Body::Leave(Leave { member: ids[1].0, applied: log.state.next() }));
     assert!(log.service().slots.iter().all(|a| a.owner == Some(ids[1])));
     let fourth = log.join(3);
     log.attach(fourth);
@@ -193,7 +193,7 @@
 fn a_leaving_member_stays_the_former_owner_and_gets_no_role() {
     let mut log = Log::with_service(5, 20);
     let (owner, standby) = parties(&log, 0);
-    log.applied(Body::Leave(Leave { member: owner.0 }));
+    log.applied(Body::Leave(Leave { member: owner.0, applied: log.state.next() }));
     let now = log.slot(0);
     assert_eq!((now.owner, now.prior), (Some(standby), Some(owner)));
     assert_eq!((log.state.owned(owner), log.state.standing_by(owner)), (0, 0));
--- a/acaciaring_core/tests/rights.rs
+++ b/acaciaring_core/tests/rights.rs
@@ -98,6 +98,22 @@
     assert!(owner.serves(&replaced, &[]), "the standby is lost and the owner resumes");
 }
 
+// A server is told to stop, and its member renounces the units for which it stands by. Before the record
+// is in the log, a third member's eviction raises the version, and the owner, which stops too, releases
+// to it. Were it to serve, the owner would serve beside it once the record has named another standby.
+#[test]
+fn a_leaving_standby_takes_over_under_no_version() {
+    let mut standby = Process::new(S);
+    let first = assignment(P, S, Some(T), 10, 10);
+    standby.rights.renounce(&Name::from("contracts"), UNIT, first.version);
+    standby.rights.leave();
+    let later = assignment(P, S, None, 10, 15);
+    standby.receive(P, 15);
+    assert!(!standby.serves(&later, &[]));
+    standby.rights.stay();
+    assert!(standby.serves(&later, &[]), "the record was rejected and it stays");
+}
+
 // A switchover is recorded while the old owner still works off requests. The
 // new owner waits for the release, which counts under any version since.
 #[test]
--- a/acaciaring_model/src/mutation.rs
+++ b/acaciaring_model/src/mutation.rs
@@ -35,6 +35,10 @@
     PriorIgnored,
     /// An owner that still waits for the former one passes the unit on.
     MoveBeforeServing,
+    /// A member that has not read of a unit that it owns may leave.
+    LeaveUnread,
+    /// A leaving standby renounces its role under the version that it knows only.
+    RoleRegained,
     /// The owner releases a unit while its split is not settled.
     ReleaseBeforeSettled,
     /// A repeated append carries a new id.
--- a/acaciaring_model/src/records.rs
+++ b/acaciaring_model/src/records.rs
@@ -138,10 +138,10 @@
     Body::Split(Split { member: member.0, workspace, units })
 }
 
-/// A member leaves.
+/// A member leaves that has read all before `applied`.
 #[must_use]
-pub fn leave(member: MemberId) -> Body {
-    Body::Leave(Leave { member: member.0 })
+pub fn leave(member: MemberId, applied: Offset) -> Body {
+    Body::Leave(Leave { member: member.0, applied })
 }
 
 /// A member's lease is over, by votes of these lessors.
--- a/acaciaring_model/src/takeover/fold.rs
+++ b/acaciaring_model/src/takeover/fold.rs
@@ -6,6 +6,7 @@
 use acaciaring_core::state::{Assignment, State};
 
 use super::{HOT, Kind, MEMBERS, Proposal, TakeoverModel};
+use crate::mutation::Mutation;
 use crate::records::{self, WORKSPACE, record};
 
 /// State after part of the log.
@@ -41,7 +42,10 @@
         let target = MEMBERS[proposal.target];
         let body = match proposal.kind {
             Kind::Switchover => records::switchover(member, proposal.version),
-            Kind::Leave => records::leave(member),
+            Kind::Leave => {
+                let unread = self.mutated(Mutation::LeaveUnread);
+                records::leave(member, if unread { offset } else { proposal.read })
+            }
             Kind::Handoff => records::handoff(member, target, proposal.version),
             Kind::Split => records::split(member, proposal.version, HOT),
             Kind::Evict(lost) => {
--- a/acaciaring_model/src/takeover/state.rs
+++ b/acaciaring_model/src/takeover/state.rs
@@ -9,7 +9,7 @@
 pub enum Kind {
     /// The owner changes roles with the standby.
     Switchover,
-    /// The owner leaves.
+    /// The owner or the standby leaves.
     Leave,
     /// The standby gives its role to the third member.
     Handoff,
@@ -28,6 +28,8 @@
     pub(super) kind: Kind,
     /// Version of the slot, or of the evicted member's lessors.
     pub(super) version: Offset,
+    /// First offset that the member had not read.
+    pub(super) read: Offset,
     pub(super) target: usize,
 }
 
--- a/acaciaring_model/src/takeover/step.rs
+++ b/acaciaring_model/src/takeover/step.rs
@@ -30,7 +30,7 @@
         let split = units.len() > 1;
         let allowed = |kind: &Kind| match kind {
             Kind::Switchover => slot.owner == me && slot.standby.is_some() && may_move,
-            Kind::Leave => slot.owner == me && may_move,
+            Kind::Leave => slot.standby == me || (slot.owner == me && may_move),
             Kind::Handoff => slot.standby == me && third.is_some(),
             Kind::Split => slot.owner == me && serving && !split,
             Kind::Move => slot.owner == me && serving && third.is_some(),
@@ -39,17 +39,18 @@
         let by = number;
         let target = third.unwrap_or_default();
         let version = slot.version;
+        let read = fold.state.next();
         let mut proposals = Vec::new();
         if state.proposals < self.proposals {
             let kinds = self.kinds.iter().copied().filter(allowed);
-            proposals.extend(kinds.map(|kind| Proposal { by, kind, version, target }));
+            proposals.extend(kinds.map(|kind| Proposal { by, kind, version, read, target }));
         }
         for lost in (0..3).filter(|lost| process.expired[*lost]) {
             let Some(member) = fold.state.member(MEMBERS[lost]) else { continue };
             let kind = Kind::Evict(lost);
             let known = state.appends.iter().chain(&state.log).any(|other| other.kind == kind);
             if !known {
-                proposals.push(Proposal { by, kind, version: member.version, target });
+                proposals.push(Proposal { by, kind, version: member.version, read, target });
             }
         }
         proposals
@@ -62,6 +63,12 @@
                 Kind::Handoff if !self.mutated(Mutation::RoleKept) => {
                     rights.renounce(&self.workspace, slot, proposal.version);
                 }
+                Kind::Leave => {
+                    rights.renounce(&self.workspace, slot, proposal.version);
+                    if !self.mutated(Mutation::RoleRegained) {
+                        rights.leave();
+                    }
+                }
                 Kind::Split if !self.mutated(Mutation::ReleaseBeforeSettled) => {
                     rights.change(&self.workspace, 0);
                 }
@@ -79,8 +86,9 @@
         let fold = self.view(state, number);
         if proposal.by == number {
             self.rights.change(&mut state.processes[number].rights, |rights| match proposal.kind {
-                Kind::Handoff if !fold.applied => {
+                Kind::Handoff | Kind::Leave if !fold.applied => {
                     rights.restore(&self.workspace, UnitId::slot(0), proposal.version);
+                    rights.stay();
                 }
                 Kind::Split => {
                     if fold.applied {
--- a/acaciaring_model/tests/takeover.rs
+++ b/acaciaring_model/tests/takeover.rs
@@ -53,6 +53,8 @@
     finds(Mutation::PriorIgnored, TakeoverModel::new(&MOVES, 2, 1));
     finds(Mutation::RoleKept, TakeoverModel::new(&MOVES, 2, 1));
     finds(Mutation::MoveBeforeServing, TakeoverModel::new(&[Kind::Leave], 2, 0));
+    finds(Mutation::LeaveUnread, TakeoverModel::new(&[Kind::Leave], 2, 0));
+    finds(Mutation::RoleRegained, TakeoverModel::new(&[Kind::Leave], 2, 1));
     finds(Mutation::MoveWithoutConsent, TakeoverModel::new(&[Kind::Move], 1, 1));
     let split = [Kind::Split, Kind::Switchover];
     finds(Mutation::ReleaseBeforeSettled, TakeoverModel::new(&split, 2, 1));
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acaciaring_core::rights::Rights;
 use acaciaring_core::route::Division;
 use acaciaring_core::state::{Folded, Outcome, Service};
-use acaciaring_core::{Name, Time};
+use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Assign, Attach, Lessors, record};
 use tracing::info;
 
@@ -176,13 +177,12 @@
     /// Submits a proposal, and takes back what was given up for it when it cannot be queued.
     pub(super) fn submit(&mut self, proposal: Proposal, body: record::Body) {
         let (renounced, changed) = (proposal.renounced.clone(), proposal.changed.clone());
+        let purpose = proposal.purpose.clone();
         if self.proposals.submit(proposal, body) {
             return;
         }
         let Some(identity) = &mut self.identity else { return };
-        for (workspace, unit, version) in &renounced {
-            identity.rights.restore(workspace, *unit, *version);
-        }
+        restore(&mut identity.rights, &purpose, &renounced);
         for (workspace, unit) in &changed {
             identity.rights.settled(workspace, unit.slot);
         }
@@ -209,9 +209,7 @@
                 identity.rights.settled(workspace, unit.slot);
             }
             if !applied {
-                for (workspace, unit, version) in &proposal.renounced {
-                    identity.rights.restore(workspace, *unit, *version);
-                }
+                restore(&mut identity.rights, &proposal.purpose, &proposal.renounced);
             }
         }
         self.published(proposal, record);
@@ -219,6 +217,16 @@
     }
 }
 
+/// Takes back what was given up for a record that is not and will not be applied.
+fn restore(rights: &mut Rights, purpose: &Purpose, renounced: &[(Name, UnitId, Offset)]) {
+    for (workspace, unit, version) in renounced {
+        rights.restore(workspace, *unit, *version);
+    }
+    if *purpose == Purpose::Leave {
+        rights.stay();
+    }
+}
+
 fn name(service: &Service) -> Name {
     Arc::clone(&service.workspace)
 }
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -162,7 +162,9 @@
         for (workspace, unit, version) in &renounced {
             identity.rights.renounce(workspace, *unit, *version);
         }
-        let body = record::Body::Leave(Leave { member: identity.me.0 });
+        identity.rights.leave();
+        let leave = Leave { member: identity.me.0, applied: self.state.next() };
+        let body = record::Body::Leave(leave);
         let proposal = Proposal {
             purpose: Purpose::Leave,
             since: now,
