Let an identity that was never attached say that it has ended

One of them, m147, stood beside a reporting upstream. Such an identity is replaced by the attachment of the next one; but this one had no lease yet, was not attached, and the attachment of the next replaced the process before it. In the log m147 lived on until others proposed its eviction at 39.61 s. A member that had chosen it and the other one as lessors (m149) had no lease until 39.62 s and refused 463 to 649 requests a second meanwhile.

An identity without attachment owns nothing and never served, so it now ends by its own record, as the other one did (24 ms in that log), and those that chose it join anew at once.

Ruled out: records held up (the next identity's join took 26 ms), the store (no failure of it in the log).

--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -82,7 +82,7 @@
         let me = identity.me;
         let Some(retiring) = identity.retiring else { return };
         match self.state.member(me).map(|member| member.phase) {
-            Some(Phase::Alive) if retiring == Retiring::Lease && self.holding.reports => {
+            Some(Phase::Alive) if retiring == Retiring::Lease && self.resumes() => {
                 self.start_over();
             }
             Some(Phase::Alive) if retiring == Retiring::Lease => self.exit(now),
@@ -93,6 +93,15 @@
         }
     }
 
+    /// Returns true when the next identity of this process takes the place of this one by its attachment.
+    ///
+    /// One that was never attached is replaced by nothing, so it says itself that it has ended. Else
+    /// those that chose it as lessor would wait for its eviction: after a start of all machines
+    /// together one had no lease for seven seconds.
+    fn resumes(&self) -> bool {
+        self.holding.reports && self.attachment().is_some()
+    }
+
     fn watch_upstream(&mut self, now: Time) {
         let Some(announced) = &self.announced else { return };
         let refused = self.parts.shared.refused.get() > announced.at;
