--- a/acaciaring_core/src/choice.rs
+++ b/acaciaring_core/src/choice.rs
@@ -2,7 +2,8 @@
 //!
 //! Of two members drawn at random the one with the lower expected cost is taken: load times latency.
 //! Load comes from reports of the process beside the upstream, which lag, so requests sent since the
-//! report are added. One that was not tried for long is tried whatever it costs. Health and load endpoints of upstreams play no part, they mislead.
+//! report are added. One that was not tried for long is tried whatever it costs. Health and load
+//! endpoints of upstreams play no part, they mislead.
 
 mod peer;
 
