Serve upstreams that are told by calls what to hold

On the new customer's deployments servers take keys by a call for each range and give them back by another; their reports say nothing of it, and not one key was ever given to a server.

acaciaring_core::orders is a state machine for such an upstream: which orders to give now, what their answers mean, until when another member must wait. It works on ranges of keys, so that neighbours under one token are one call. An order without answer counts as held until its time has surely run out, also when a release was answered meanwhile. Tokens have room below the next assignment's for a count of starts: an order over a new connection bears a higher one, for behind it may be another start under the same name (ruled out: a wait for the next report, which may be cut off; and leaving with all units).

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -3,15 +3,19 @@
 //! The upstream reports what it holds, and each reply says all that it is to hold and for how
 //! long. A unit may pass to another member only once its upstream surely holds it no more.
 
+mod epoch;
 mod rows;
+mod starts;
 
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 use std::slice;
 use std::time::Duration;
 
+pub use self::epoch::Epoch;
 pub use self::rows::{Freed, Granted, Held, Wanted};
 use self::rows::{lie_in, meet, rows};
+pub use self::starts::{Report, Start, Starts};
 use crate::id::{Name, Token, UnitId};
 use crate::time::Time;
 
@@ -30,28 +34,14 @@
 const CONFIRM: Duration = Duration::from_millis(500);
 
 /// Part of its own time by which the clock of the upstream may run slow, with a reserve.
-const DRIFT: f64 = 0.03;
+pub(crate) const DRIFT: f64 = 0.03;
 
 /// Shortest time for which a grant is worth its reply.
-const LEAST: Duration = Duration::from_millis(100);
+pub(crate) const LEAST: Duration = Duration::from_millis(100);
 
 /// Released ranges that are remembered.
 const FREED: usize = 1024;
 
-/// Former instances that are remembered.
-const FORMER: usize = 32;
-
-/// What became of a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Report {
-    /// It is the newest of the present upstream.
-    Newest,
-    /// It is the first of another start of the upstream.
-    Another,
-    /// It was sent before one that came earlier, or by an upstream that has gone.
-    Late,
-}
-
 /// Unit that the upstream may hold.
 #[derive(Debug, Clone)]
 struct Given {
@@ -67,27 +57,13 @@
     denied: bool,
 }
 
-/// Instance that may have taken the place of the present one.
-#[derive(Debug, Clone)]
-struct Candidate {
-    instance: Name,
-    sequence: u64,
-    since: Time,
-}
-
 /// What the upstream beside this member holds.
 #[derive(Debug, Clone)]
 pub struct Holds {
     /// Longest time for which a grant is given.
     hold: Duration,
-    instance: Option<Name>,
-    sequence: u64,
-    former: Vec<Name>,
-    /// Another instance that has reported once, its number and when.
-    candidate: Option<Candidate>,
-    /// When the present instance last reported, and first.
-    heard: Time,
-    first: Time,
+    starts: Starts,
+    epoch: Epoch,
     reported: Vec<Held>,
     given: BTreeMap<UnitId, Given>,
     freed: Vec<Freed>,
@@ -107,12 +83,8 @@
     pub fn new(now: Time, hold: Duration) -> Self {
         Self {
             hold,
-            instance: None,
-            sequence: 0,
-            former: Vec::new(),
-            candidate: None,
-            heard: now,
-            first: now,
+            starts: Starts::new(now),
+            epoch: Epoch::default(),
             reported: Vec::new(),
             given: BTreeMap::new(),
             freed: Vec::new(),
@@ -124,43 +96,25 @@
 
     /// Returns the present start of the upstream.
     #[must_use]
-    pub fn instance(&self) -> Option<&Name> {
-        self.instance.as_ref()
+    pub const fn start(&self) -> Option<&Start> {
+        self.starts.present()
     }
 
     /// Takes in a report.
-    ///
-    /// Guards against a report that is delayed until its sender has gone and another one
-    /// reports from the same address. Taken for a start of the upstream, it would end all that
-    /// the living one holds in the eyes of this member, which would pass it on at once. So
-    /// instances that were replaced are remembered, and another one is believed once it has
-    /// reported twice while the present one was silent.
     pub fn report(
         &mut self,
         now: Time,
-        instance: &Name,
+        start: &Start,
         sequence: u64,
         held: Vec<Held>,
         freed: Vec<Freed>,
     ) -> Report {
-        let same = self.instance.as_ref() == Some(instance);
-        if self.former.contains(instance) || (same && sequence <= self.sequence) {
-            return Report::Late;
+        let report = self.starts.report(now, start, sequence);
+        match report {
+            Report::Late => return report,
+            Report::Another => self.replaced(now),
+            Report::Newest => {}
         }
-        let report = if same || self.instance.is_none() { Report::Newest } else { Report::Another };
-        if report == Report::Another {
-            if !self.believes(now, instance, sequence) {
-                return Report::Late;
-            }
-            self.replaced();
-        }
-        self.candidate = None;
-        self.heard = now;
-        if !same {
-            self.first = now;
-        }
-        self.instance = Some(Name::clone(instance));
-        self.sequence = sequence;
         self.reported = held;
         self.freed.extend(freed);
         if !self.reported.is_empty() && self.given.is_empty() {
@@ -171,29 +125,14 @@
         report
     }
 
-    /// Returns true when another instance has surely taken the place of the present one.
-    fn believes(&mut self, now: Time, instance: &Name, sequence: u64) -> bool {
-        let known = self.candidate.as_ref().filter(|candidate| candidate.instance == *instance);
-        if let Some(known) = known {
-            return sequence > known.sequence && self.heard < known.since;
-        }
-        self.candidate = Some(Candidate { instance: Name::clone(instance), sequence, since: now });
-        false
-    }
-
     /// Returns true while the upstream may hold anything.
     #[must_use]
     pub fn may_hold_any(&self, now: Time) -> bool {
         now < self.until && (self.unknown() || !self.reported.is_empty() || !self.given.is_empty())
     }
 
-    fn replaced(&mut self) {
-        if let Some(former) = self.instance.take() {
-            self.former.push(former);
-            if self.former.len() > FORMER {
-                self.former.remove(0);
-            }
-        }
+    fn replaced(&mut self, now: Time) {
+        self.epoch.raise(now);
         self.reported.clear();
         self.given.clear();
         self.freed.clear();
@@ -236,12 +175,15 @@
         self.effects.dedup();
         self.until = self.until.max(now + hold.mul_f64(1.0 + DRIFT));
         // The upstream counts from the sending of its report, a moment before it was heard.
-        self.lapse = self.heard + hold.saturating_sub(EFFECT);
+        self.lapse = self.starts.heard() + hold.saturating_sub(EFFECT);
+        for row in &mut granted {
+            row.token = self.epoch.fence(row.token);
+        }
         Some((granted, hold))
     }
 
     fn give(&mut self, now: Time, wanted: &Wanted) {
-        let held = self.is_reported(&wanted.keys, wanted.token);
+        let held = self.is_reported(&wanted.keys, self.epoch.fence(wanted.token));
         let effect = if held { now } else { now + EFFECT };
         let given = self.given.entry(wanted.unit).or_insert(Given {
             token: wanted.token,
@@ -303,8 +245,8 @@
     /// Guards against a process that starts beside a living upstream and sees a report that was
     /// held up: it would pass on at once what the upstream still holds by the former process.
     fn unknown(&self) -> bool {
-        let soon = self.instance.is_none() || self.heard.since(self.first) < CONFIRM;
-        self.former.is_empty() && soon
+        let soon = self.starts.present().is_none() || self.starts.span() < CONFIRM;
+        !self.starts.is_replaced() && soon
     }
 
     /// Returns what the upstream gave out when it released keys, empty when it gave nothing.
--- /dev/null
+++ b/acaciaring_core/src/holds/starts.rs
@@ -0,0 +1,153 @@
+//! Starts of the upstream, as its reports tell them.
+
+use std::fmt::{self, Display, Formatter};
+use std::time::Duration;
+
+use crate::id::Name;
+use crate::time::Time;
+
+/// Former starts that are remembered.
+const FORMER: usize = 32;
+
+/// One start of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// Name of the upstream, which may outlast a start.
+    pub instance: Name,
+    /// Number that grows with each start under one name; 0 where the upstream tells none.
+    pub born: u64,
+}
+
+impl Start {
+    /// Returns true for a later start under the same name.
+    fn follows(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.born > other.born
+    }
+}
+
+impl Display for Start {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        match self.born {
+            0 => out.write_str(&self.instance),
+            born => write!(out, "{} ({born})", self.instance),
+        }
+    }
+}
+
+/// What became of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Report {
+    /// It is the newest of the present upstream.
+    Newest,
+    /// It is the first of another start of the upstream.
+    Another,
+    /// It was sent before one that came earlier, or by an upstream that has gone.
+    Late,
+}
+
+/// Start that may have taken the place of the present one.
+#[derive(Debug, Clone)]
+struct Candidate {
+    start: Start,
+    sequence: u64,
+    since: Time,
+}
+
+/// The present start of the upstream, and former ones.
+#[derive(Debug, Clone)]
+pub struct Starts {
+    present: Option<Start>,
+    sequence: u64,
+    former: Vec<Start>,
+    /// Another start that has reported once, its number and when.
+    candidate: Option<Candidate>,
+    /// When the present start last reported, and first.
+    heard: Time,
+    first: Time,
+}
+
+impl Starts {
+    /// Makes a record of an upstream that has not reported.
+    #[must_use]
+    pub const fn new(now: Time) -> Self {
+        Self {
+            present: None,
+            sequence: 0,
+            former: Vec::new(),
+            candidate: None,
+            heard: now,
+            first: now,
+        }
+    }
+
+    /// Returns the present start.
+    #[must_use]
+    pub const fn present(&self) -> Option<&Start> {
+        self.present.as_ref()
+    }
+
+    /// Returns when the present start last reported.
+    pub(crate) const fn heard(&self) -> Time {
+        self.heard
+    }
+
+    /// Returns for how long the present start has reported.
+    pub(crate) fn span(&self) -> Duration {
+        self.heard.since(self.first)
+    }
+
+    /// Returns true once one start has taken the place of another.
+    pub(crate) const fn is_replaced(&self) -> bool {
+        !self.former.is_empty()
+    }
+
+    /// Takes in a report.
+    ///
+    /// Guards against a report that is delayed until its sender has gone and another one
+    /// reports from the same address. Taken for a start of the upstream, it would end all that
+    /// the living one holds in the eyes of this member, which would pass it on at once. So
+    /// starts that were replaced are remembered, and one under another name is believed once it
+    /// has reported twice while the present one was silent. Under one name the numbers tell.
+    pub fn report(&mut self, now: Time, start: &Start, sequence: u64) -> Report {
+        let same = self.present.as_ref() == Some(start);
+        if self.is_late(start) || (same && sequence <= self.sequence) {
+            return Report::Late;
+        }
+        let report = if same || self.present.is_none() { Report::Newest } else { Report::Another };
+        if report == Report::Another {
+            if !self.believes(now, start, sequence) {
+                return Report::Late;
+            }
+            self.former.extend(self.present.take());
+            let excess = self.former.len().saturating_sub(FORMER);
+            self.former.drain(..excess);
+        }
+        self.candidate = None;
+        self.heard = now;
+        if !same {
+            self.first = now;
+        }
+        self.present = Some(start.clone());
+        self.sequence = sequence;
+        report
+    }
+
+    /// Returns true for a start that a later one has replaced.
+    fn is_late(&self, start: &Start) -> bool {
+        let present = self.present.as_ref();
+        self.former.contains(start) || present.is_some_and(|present| present.follows(start))
+    }
+
+    /// Returns true when another start has surely taken the place of the present one.
+    fn believes(&mut self, now: Time, start: &Start, sequence: u64) -> bool {
+        if self.present.as_ref().is_some_and(|present| start.follows(present)) {
+            return true;
+        }
+        let known = self.candidate.as_ref().filter(|candidate| candidate.start == *start);
+        if let Some(known) = known {
+            return sequence > known.sequence && self.heard < known.since;
+        }
+        self.candidate = Some(Candidate { start: start.clone(), sequence, since: now });
+        false
+    }
+}
--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -12,6 +12,7 @@
 mod id;
 pub mod lag;
 pub mod lease;
+pub mod orders;
 pub mod retry;
 pub mod rights;
 pub mod route;
--- /dev/null
+++ b/acaciaring_core/src/orders/runs.rs
@@ -0,0 +1,79 @@
+//! Neighbouring pieces that one order can bear.
+
+use super::piece::{Piece, Pieces};
+use crate::id::{Name, Token};
+use crate::time::Time;
+
+/// Range of keys for one order.
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    pub(super) first: u32,
+    pub(super) last: u32,
+    pub(super) token: Token,
+    pub(super) handover: Name,
+    single: bool,
+    /// When the first of its pieces is due.
+    due: Time,
+}
+
+impl Run {
+    /// Takes a piece in where it goes on, under the same token and with the same handover.
+    fn extend(&mut self, next: &Self) -> bool {
+        let fits = self.last + 1 == next.first
+            && self.token == next.token
+            && self.handover == next.handover
+            && !self.single
+            && !next.single;
+        if fits {
+            self.last = next.last;
+            self.due = self.due.min(next.due);
+        }
+        fits
+    }
+}
+
+/// Returns the grants that are due, the most urgent first, at most `room`.
+pub(super) fn grants(now: Time, pieces: &Pieces, room: usize) -> Vec<Run> {
+    let fits = pieces.ordered().filter(|(_, piece)| piece.is_grantable(now));
+    let mut runs = join(fits.map(|(first, piece)| {
+        // What is held already has no longer to be told what the last holder gave out.
+        let handover = if piece.is_new() { Name::clone(&piece.handover) } else { Name::from("") };
+        run(first, piece, handover, piece.renewal())
+    }));
+    runs.retain(|run| run.due <= now);
+    runs.sort_by_key(|run| run.due);
+    runs.truncate(room);
+    runs
+}
+
+/// Returns the releases that are due, at most `room`.
+pub(super) fn releases(
+    now: Time,
+    pieces: &Pieces,
+    idle: impl Fn(u32, u32) -> bool,
+    room: usize,
+) -> Vec<Run> {
+    if room == 0 {
+        return Vec::new();
+    }
+    let fits = pieces.ordered().filter(|(_, piece)| piece.is_to_release(now));
+    let fits = fits.filter(|(first, piece)| idle(*first, piece.last));
+    let mut runs = join(fits.map(|(first, piece)| run(first, piece, Name::from(""), now)));
+    runs.truncate(room);
+    runs
+}
+
+fn run(first: u32, piece: &Piece, handover: Name, due: Time) -> Run {
+    let Piece { last, token, single, .. } = *piece;
+    Run { first, last, token, handover, single, due }
+}
+
+fn join(pieces: impl Iterator<Item = Run>) -> Vec<Run> {
+    let mut runs: Vec<Run> = Vec::new();
+    for next in pieces {
+        if !runs.last_mut().is_some_and(|last| last.extend(&next)) {
+            runs.push(next);
+        }
+    }
+    runs
+}
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use acaciaring_core::holds::{Freed, Granted, Held, Holds, Report, Wanted};
-use acaciaring_core::{Name, Time, Token, UnitId};
+use acaciaring_core::holds::{Epoch, Freed, Granted, Held, Holds, Report, Start, Wanted};
+use acaciaring_core::{Time, Token, UnitId};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -16,8 +16,17 @@
     Time::from_millis(10_000 + millis)
 }
 
-fn first() -> Name {
-    "i-1".into()
+fn start(instance: &str) -> Start {
+    Start { instance: instance.into(), born: 0 }
+}
+
+fn first() -> Start {
+    start("i-1")
+}
+
+/// Returns a token as the upstream is told it.
+fn fenced(token: u64) -> Token {
+    Epoch::default().fence(Token(token))
 }
 
 fn wanted(slot: u32, token: u64) -> Wanted {
@@ -26,7 +35,7 @@
 }
 
 fn held(slot: u32, token: u64) -> Held {
-    Held { first: slot * 16, last: slot * 16 + 15, token: Token(token) }
+    Held { first: slot * 16, last: slot * 16 + 15, token: fenced(token) }
 }
 
 fn freed(slot: u32) -> Freed {
@@ -126,7 +135,7 @@
 #[test]
 fn a_report_of_another_instance_is_believed_when_the_present_one_is_silent() {
     let mut holds = steady();
-    let other: Name = "i-0".into();
+    let other = start("i-0");
     assert_eq!(holds.report(at(2000), &other, 50, Vec::new(), Vec::new()), Report::Late);
     assert!(may_hold(&holds, at(2000), 1));
     beat(&mut holds, at(2700), 4, &[held(1, 7)], &[], &[wanted(1, 7)]);
--- /dev/null
+++ b/acaciaring_core/tests/orders.rs
@@ -0,0 +1,329 @@
+//! Stories of an upstream that is told by orders what to hold.
+
+use std::time::Duration;
+
+use acaciaring_core::holds::{Report, Start, Wanted};
+use acaciaring_core::orders::{Action, Answer, Issued, Orders, REACH};
+use acaciaring_core::{Name, Time, Token, UnitId};
+
+const HOLD: Duration = Duration::from_secs(3);
+
+/// Keys of a slot.
+const WIDTH: u32 = 16;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+fn start(born: u64) -> Start {
+    Start { instance: "i-1".into(), born }
+}
+
+fn wanted(slot: u32, token: u64) -> Wanted {
+    with_handover(slot, token, "")
+}
+
+fn with_handover(slot: u32, token: u64, handover: &str) -> Wanted {
+    let keys = std::iter::once(slot * WIDTH..=slot * WIDTH + WIDTH - 1).collect();
+    Wanted { unit: UnitId::slot(slot), token: Token(token), keys, handover: handover.into() }
+}
+
+fn done() -> Answer {
+    Answer::Done { handover: "".into() }
+}
+
+/// Decides with a lease that is long enough and nothing in flight.
+fn decide(orders: &mut Orders, now: Time) -> Vec<Issued> {
+    orders.decide(now, now + HOLD * 3, |_, _| true)
+}
+
+/// Answers each order after a millisecond.
+fn answer(orders: &mut Orders, now: Time, issued: &[Issued], answer: &Answer) {
+    for issued in issued {
+        orders.settle(now + Duration::from_millis(1), issued.number, answer).expect("under way");
+    }
+}
+
+/// Returns the record of an upstream that holds slots 1 and 2 since one second, the former process's time over.
+fn steady() -> Orders {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.report(at(0), &start(1), 1);
+    orders.want(&[wanted(1, 7), wanted(2, 7)]);
+    connect(&mut orders, at(4000));
+    orders
+}
+
+/// Grants what is due over a new connection.
+fn connect(orders: &mut Orders, now: Time) {
+    let issued = decide(orders, now);
+    answer(orders, now, &issued, &Answer::Unconnected);
+    let issued = decide(orders, now);
+    assert!(issued.iter().all(|issued| issued.connects));
+    answer(orders, now, &issued, &done());
+}
+
+fn ranges(issued: &[Issued]) -> Vec<(u32, u32)> {
+    issued.iter().map(|issued| (issued.order.first, issued.order.last)).collect()
+}
+
+fn serves(orders: &Orders, now: Time, slot: u32, token: u64) -> bool {
+    orders.serves(now, &wanted(slot, 0).keys, Token(token))
+}
+
+fn may_hold(orders: &Orders, now: Time, slot: u32) -> bool {
+    orders.may_hold(now, &wanted(slot, 0).keys)
+}
+
+#[test]
+fn a_unit_is_served_once_its_grant_is_answered() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.want(&[wanted(1, 7)]);
+    let issued = decide(&mut orders, at(0));
+    assert_eq!(ranges(&issued), [(16, 31)]);
+    assert!(!serves(&orders, at(1), 1, 7), "the order is on its way");
+    answer(&mut orders, at(1), &issued, &done());
+    assert!(serves(&orders, at(3), 1, 7));
+    assert!(!serves(&orders, at(3), 1, 9), "not under another token");
+    assert!(decide(&mut orders, at(4)).is_empty(), "nothing is due");
+}
+
+/// A member owns many neighbouring slots under one token. A call for each would cost it a good part of
+/// its processor; one call bears them all, and one more a neighbour under another token.
+#[test]
+fn neighbours_under_one_token_are_one_order() {
+    let mut orders = Orders::new(at(0), HOLD);
+    let units: Vec<Wanted> = (0..50).map(|slot| wanted(slot, 7)).collect();
+    orders.want(&[units, vec![wanted(50, 9), wanted(60, 7)]].concat());
+    let issued = decide(&mut orders, at(0));
+    assert_eq!(ranges(&issued), [(0, 799), (800, 815), (960, 975)]);
+}
+
+/// The lease of the member ends while an order is under way: it arrives as late as it may, and the upstream
+/// counts from then, on a slow clock. Another member takes over at the end of the lease.
+#[test]
+fn a_grant_ends_with_the_lease_wherever_it_was_held_up() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.want(&[wanted(1, 7)]);
+    let lease = at(2000);
+    let issued = orders.decide(at(0), lease, |_, _| true);
+    let Action::Grant { hold, .. } = issued[0].order.action else { panic!("a grant") };
+    assert!(issued[0].reach <= at(0) + REACH);
+    assert!(issued[0].reach + hold.mul_f64(1.02) <= lease);
+    orders.settle(at(5), issued[0].number, &Answer::Unsent);
+    assert!(orders.decide(at(1990), lease, |_, _| true).is_empty(), "too little is left");
+}
+
+/// The answer to a renewal is lost, and so is the next one.
+/// The keys must not be without server for that: there is time for a third.
+#[test]
+fn a_grant_is_renewed_while_two_answers_may_be_lost() {
+    let mut orders = steady();
+    let renewal = at(4000) + HOLD / 2;
+    assert!(decide(&mut orders, renewal - Duration::from_millis(20)).is_empty());
+    let mut now = renewal;
+    for _ in 0..2 {
+        let issued = decide(&mut orders, now);
+        assert_eq!(ranges(&issued), [(16, 47)]);
+        now = now + REACH;
+        orders.settle(now, issued[0].number, &Answer::Unknown).expect("under way");
+        assert!(serves(&orders, now, 1, 7));
+    }
+    let issued = decide(&mut orders, now);
+    answer(&mut orders, now, &issued, &done());
+    assert!(serves(&orders, at(4000) + HOLD, 1, 7), "past the end of the first grant");
+}
+
+/// A grant gets no answer. The unit moves on, and the release is answered.
+/// The grant is carried out after that, and its time counts from its arrival: until that is over nobody
+/// else may have the unit.
+#[test]
+fn an_order_without_answer_counts_as_held_after_a_release() {
+    let mut orders = steady();
+    let renewal = at(4000) + HOLD / 2;
+    let issued = decide(&mut orders, renewal);
+    let lost = renewal + REACH;
+    orders.settle(lost, issued[0].number, &Answer::Unknown);
+    orders.want(&[]);
+    let issued = decide(&mut orders, lost);
+    assert_eq!(issued[0].order.action, Action::Release);
+    answer(&mut orders, lost, &issued, &done());
+    assert!(may_hold(&orders, lost + Duration::from_millis(5), 1));
+    assert!(may_hold(&orders, lost + HOLD, 1));
+    assert!(!may_hold(&orders, lost + HOLD.mul_f64(1.05), 1));
+}
+
+#[test]
+fn a_release_that_is_answered_ends_a_hold_and_brings_the_handover() {
+    let mut orders = steady();
+    orders.want(&[wanted(2, 7)]);
+    let issued = decide(&mut orders, at(4100));
+    assert_eq!(ranges(&issued), [(16, 31)]);
+    assert!(may_hold(&orders, at(4101), 1), "until it is answered");
+    answer(&mut orders, at(4100), &issued, &Answer::Done { handover: "h".into() });
+    assert!(!may_hold(&orders, at(4102), 1));
+    assert_eq!(&*orders.handover(&wanted(1, 0).keys), "h");
+    assert!(may_hold(&orders, at(4102), 2));
+    assert!(serves(&orders, at(4102), 2, 7), "its neighbour under the same grant goes on");
+}
+
+/// A block of slots moves while one of them has a long request.
+/// The others must not wait for it; its own slot is released once it has ended.
+#[test]
+fn a_long_request_holds_up_its_own_unit_only() {
+    let mut orders = steady();
+    orders.want(&[]);
+    let busy = |first: u32, _: u32| first != WIDTH;
+    let issued = orders.decide(at(4100), at(9000), busy);
+    assert_eq!(ranges(&issued), [(32, 47)]);
+    answer(&mut orders, at(4100), &issued, &done());
+    assert!(orders.decide(at(4150), at(9000), busy).is_empty());
+    assert_eq!(ranges(&orders.decide(at(4200), at(9000), |_, _| true)), [(16, 31)]);
+}
+
+#[test]
+fn the_first_grant_to_a_new_holder_bears_the_handover() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.want(&[with_handover(1, 7, "h"), wanted(2, 7)]);
+    let issued = decide(&mut orders, at(0));
+    let handovers: Vec<Name> = issued
+        .iter()
+        .map(|issued| match &issued.order.action {
+            Action::Grant { handover, .. } => Name::clone(handover),
+            Action::Release => panic!("a grant"),
+        })
+        .collect();
+    assert_eq!(handovers, ["h".into(), Name::from("")]);
+    answer(&mut orders, at(0), &issued, &done());
+    let issued = decide(&mut orders, at(0) + HOLD / 2);
+    assert_eq!(ranges(&issued), [(16, 47)], "then both are one range");
+}
+
+/// The upstream has seen a higher token on one of the keys of a range: this member lags behind.
+/// It must not order again under the same token on that key; the other keys are not to suffer.
+#[test]
+fn a_key_with_a_higher_token_is_not_ordered_again() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.want(&[wanted(1, 7), wanted(2, 7)]);
+    let issued = decide(&mut orders, at(0));
+    assert_eq!(ranges(&issued), [(16, 47)]);
+    answer(&mut orders, at(0), &issued, &Answer::Superseded);
+    let issued = decide(&mut orders, at(2));
+    assert_eq!(ranges(&issued), [(16, 31), (32, 47)], "each by itself");
+    orders.settle(at(3), issued[0].number, &Answer::Superseded);
+    orders.settle(at(3), issued[1].number, &done());
+    assert!(serves(&orders, at(4), 2, 7));
+    assert!(orders.superseded(&wanted(1, 0).keys) && !orders.superseded(&wanted(2, 0).keys));
+    for millis in (10..9_000).step_by(50) {
+        let issued = decide(&mut orders, at(millis));
+        assert!(issued.iter().all(|issued| issued.order.first != 16), "at {millis} ms");
+        answer(&mut orders, at(millis), &issued, &done());
+    }
+    orders.want(&[wanted(1, 9), wanted(2, 7)]);
+    assert_eq!(ranges(&decide(&mut orders, at(9_000))), [(16, 31)], "under the next token");
+}
+
+/// An order is refused as it stands. It is given again, but not at once and in a loop.
+#[test]
+fn an_order_that_is_rejected_rests() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.want(&[wanted(1, 7)]);
+    let issued = decide(&mut orders, at(0));
+    answer(&mut orders, at(0), &issued, &Answer::Rejected);
+    assert!(decide(&mut orders, at(500)).is_empty());
+    assert_eq!(decide(&mut orders, at(1100)).len(), 1);
+}
+
+/// The server crashes and starts again under its name. A report of the life before comes late.
+/// The new life holds nothing and must get its keys under higher tokens; the late report changes nothing.
+#[test]
+fn another_start_under_the_same_name_gets_its_keys_under_higher_tokens() {
+    let mut orders = steady();
+    let under_way = decide(&mut orders, at(4000) + HOLD / 2).remove(0);
+    assert_eq!(orders.report(at(6000), &start(2), 1), Report::Another);
+    assert!(!serves(&orders, at(6000), 1, 7));
+    assert_eq!(orders.report(at(6010), &start(1), 99), Report::Late);
+    assert_eq!(orders.start(), Some(&start(2)));
+    // An order was under way. What the life before has answered says nothing of this one.
+    orders.settle(at(6100), under_way.number, &done());
+    assert!(!serves(&orders, at(6101), 1, 7));
+    let issued = decide(&mut orders, at(6200));
+    assert_eq!(ranges(&issued), [(16, 47)]);
+    assert!(issued[0].order.token > under_way.order.token);
+}
+
+/// The server ends and starts again between two reports, so that no report has told of it.
+/// The connections end with it. An order over a new one must have a higher token than all before.
+#[test]
+fn an_order_over_a_new_connection_has_a_higher_token() {
+    let mut orders = steady();
+    let now = at(4000) + HOLD / 2;
+    let issued = decide(&mut orders, now);
+    assert!(!issued[0].connects, "a kept connection leads to the same start");
+    answer(&mut orders, now, &issued, &Answer::Unconnected);
+    let again = decide(&mut orders, now);
+    assert!(again[0].connects);
+    assert!(again[0].order.token > issued[0].order.token);
+    let next = Token(9);
+    assert!(again[0].order.token.0 < next.0 << 20, "below the next assignment's");
+}
+
+/// A release without answer is carried out late, after the unit has come back under a newer token.
+/// The server refuses requests for it; it is granted again at once.
+#[test]
+fn a_unit_that_the_upstream_denies_is_granted_again() {
+    let mut orders = steady();
+    orders.deny(&wanted(1, 0).keys);
+    assert!(!serves(&orders, at(4200), 1, 7));
+    assert!(serves(&orders, at(4200), 2, 7));
+    let issued = decide(&mut orders, at(4200));
+    assert_eq!(ranges(&issued), [(16, 47)], "its neighbour's renewal goes with it");
+    answer(&mut orders, at(4200), &issued, &done());
+    assert!(serves(&orders, at(4202), 1, 7));
+}
+
+/// A process starts anew beside a living server: it does not know what the former one has ordered.
+/// Everything counts as held until the longest grant has surely ended.
+#[test]
+fn a_process_that_starts_anew_counts_all_as_held() {
+    let orders = Orders::new(at(0), HOLD);
+    assert!(may_hold(&orders, at(0), 1) && orders.may_hold_any(at(3000)));
+    assert!(!may_hold(&orders, at(0) + HOLD.mul_f64(1.04), 1));
+}
+
+/// A hot key is split out of its slot and moves while the rest of the slot stays.
+/// The rest goes on under the grant that it has; only the key is released.
+#[test]
+fn a_key_that_is_split_out_is_released_by_itself() {
+    let mut orders = steady();
+    let rest = Wanted { keys: vec![16..=19, 21..=31], ..wanted(1, 7) };
+    orders.want(&[rest.clone(), wanted(2, 7)]);
+    assert!(orders.serves(at(4100), &rest.keys, Token(7)));
+    let issued = decide(&mut orders, at(4100));
+    assert_eq!(ranges(&issued), [(20, 20)]);
+    assert_eq!(issued[0].order.action, Action::Release);
+    answer(&mut orders, at(4100), &issued, &done());
+    orders.want(&[wanted(1, 7), wanted(2, 7)]);
+    assert!(!serves(&orders, at(4200), 1, 7), "until the key is granted again");
+    let issued = decide(&mut orders, at(4200));
+    answer(&mut orders, at(4200), &issued, &done());
+    assert!(serves(&orders, at(4202), 1, 7));
+}
+
+/// Orders that stay without answer take all places for grants. Releases must not wait for them.
+#[test]
+fn grants_without_answer_do_not_hold_up_releases() {
+    let mut orders = Orders::new(at(0), HOLD);
+    let apart: Vec<Wanted> = (0..40).map(|n| wanted(n * 2, 7)).collect();
+    orders.want(&apart);
+    let mut granted = 0;
+    while granted < 40 {
+        let issued = decide(&mut orders, at(10));
+        granted += issued.len();
+        answer(&mut orders, at(10), &issued, &done());
+    }
+    let hanging = decide(&mut orders, at(10) + HOLD / 2);
+    assert!(hanging.len() < apart.len(), "only so many at once");
+    orders.want(&apart[..20]);
+    let issued = decide(&mut orders, at(20) + HOLD / 2);
+    assert!(issued.iter().any(|issued| issued.order.action == Action::Release));
+}
--- a/acaciaringd/src/announce.rs
+++ b/acaciaringd/src/announce.rs
@@ -88,6 +88,9 @@
     /// Identity of this start of the upstream, where it names one.
     #[serde(default)]
     pub instance: String,
+    /// Number that grows with each start under one identity, 0 where the upstream tells none.
+    #[serde(default)]
+    pub born: u64,
 }
 
 /// Answer to an announcement.
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use acaciaring_core::orders::Answer;
 use acaciaring_core::state::{Outcome, RecordId};
 use acaciaring_core::{Name, Offset, UnitId};
 use acaciaring_schema::log::{Batch, Publish, Vote};
@@ -39,6 +40,8 @@
     Heartbeat(Heartbeat, oneshot::Sender<HeartbeatReply>),
     /// The upstream has refused a request for a unit that it was given.
     Misplaced(Name, UnitId),
+    /// What came of an order to the upstream.
+    Ordered(u64, Answer),
     /// The upstream is leaving and reports no more; it is told once nothing new is given to it.
     UpstreamLeaves(Name, oneshot::Sender<()>),
     /// A member has said in passing that it has this version of the declared configuration.
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -165,7 +165,7 @@
         let Some(service) = self.state.service(workspace).filter(|service| service.founded) else {
             return Vec::new();
         };
-        let handover = |unit| self.holding.holds.handover(&service.numbers(unit)).to_string();
+        let handover = |unit| self.holding.way.handover(&service.numbers(unit)).to_string();
         units.iter().map(|(unit, _)| handover(*unit)).collect()
     }
 
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::holds::{Granted, Holds, Report, Wanted};
+use acaciaring_core::holds::{Granted, Report, Wanted};
 use acaciaring_core::rights::Right;
 use acaciaring_core::state::{Attachment, Member, Service, State};
 use acaciaring_core::{Name, Time, UnitId};
+use acaciaring_schema::settings::UpstreamGrants;
 use tokio::sync::oneshot;
 use tracing::{debug, info, warn};
 
 use super::Control;
 use super::identity::Retiring;
 use super::proposal::Purpose;
+use super::way::Way;
 use crate::announce::Phase;
 use crate::heartbeat::{Heartbeat, HeartbeatReply};
 use crate::view::{Permit, Permits};
@@ -32,13 +34,15 @@
 /// What is known of an upstream that reports what it holds.
 #[derive(Debug)]
 pub(super) struct Holding {
-    pub(super) holds: Holds,
+    pub(super) way: Way,
     /// True once the upstream has reported.
     pub(super) reports: bool,
     /// Since when the upstream is leaving.
     leaving: Option<Time>,
     /// Report whose reply waits for a move.
     waiting: Option<Waiting>,
+    /// When something was to change by time alone, when that was last asked.
+    awaited: Option<Time>,
 }
 
 /// Report whose reply waits until a move that is under way shows in it.
@@ -54,8 +58,14 @@
 }
 
 impl Holding {
-    pub(super) fn new(now: Time, hold: Duration) -> Self {
-        Self { holds: Holds::new(now, hold), reports: false, leaving: None, waiting: None }
+    pub(super) fn new(now: Time, grants: UpstreamGrants, hold: Duration) -> Self {
+        Self {
+            way: Way::new(now, grants, hold),
+            reports: false,
+            leaving: None,
+            waiting: None,
+            awaited: None,
+        }
     }
 
     /// Returns true once a leaving upstream gets no more requests.
@@ -67,7 +77,24 @@
     pub(super) fn next(&self, now: Time) -> Option<Time> {
         let closing = self.leaving.map(|since| since + LAST_WORK).filter(|close| now < *close);
         let waiting = self.waiting.as_ref().map(|waiting| waiting.until);
-        [self.holds.next_effect(now), closing, waiting].into_iter().flatten().min()
+        let effect = match &self.way {
+            Way::Reported(holds) => holds.next_effect(now),
+            Way::Called(orders) => Some(orders.next()),
+        };
+        [effect, closing, waiting].into_iter().flatten().min()
+    }
+
+    /// Returns true once something has changed by time alone since it was last looked at.
+    pub(super) fn is_stale(&mut self, now: Time) -> bool {
+        let next = match &self.way {
+            Way::Called(orders) if orders.lapsed(now) => return true,
+            // What an order brings is told when its answer comes.
+            Way::Called(_) => self.leaving.map(|since| since + LAST_WORK).filter(|at| now < *at),
+            Way::Reported(_) => self.next(now),
+        };
+        let stale = self.reports && next != self.awaited;
+        self.awaited = next;
+        stale
     }
 }
 
@@ -79,18 +106,18 @@
         heartbeat: Heartbeat,
         reply: oneshot::Sender<HeartbeatReply>,
     ) {
-        let Heartbeat { announcement, sequence, held, freed, room } = heartbeat;
-        let instance = Name::from(announcement.instance.as_str());
-        let report = self.holding.holds.report(now, &instance, sequence, held, freed);
+        let report = self.holding.way.report(now, &heartbeat);
+        let Heartbeat { announcement, sequence, room, .. } = heartbeat;
+        let (instance, born) = (Name::from(announcement.instance.as_str()), announcement.born);
         if report == Report::Late {
-            info!(%instance, sequence, "late report of the upstream");
+            info!(%instance, born, sequence, "late report of the upstream");
             // The sender may have gone away.
             let _ = reply.send(HeartbeatReply::default());
             return;
         }
         self.holding.reports = true;
         if report == Report::Another {
-            info!(%instance, "the upstream has started anew");
+            info!(%instance, born, "the upstream has started anew");
             self.holding.leaving = None;
         }
         if self.attached_elsewhere(&instance) {
@@ -115,11 +142,14 @@
         let Some(until) = self.holding.waiting.as_ref().map(|waiting| waiting.until) else {
             return;
         };
-        if now < until && self.moving() {
+        let called = matches!(self.holding.way, Way::Called(_));
+        if now < until && !called && self.moving() {
             return;
         }
         let Some(Waiting { reply, room, .. }) = self.holding.waiting.take() else { return };
-        let answer = HeartbeatReply { grants: self.grants(now, room) };
+        let called = matches!(self.holding.way, Way::Called(_));
+        let grants = if called { None } else { self.grants(now, room) };
+        let answer = HeartbeatReply { grants };
         debug!(ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
         // The sender may have gone away.
         let _ = reply.send(answer);
@@ -145,7 +175,8 @@
 
     /// Notes that the upstream is leaving and reports no more.
     pub(super) fn on_upstream_leaves(&mut self, now: Time, instance: &Name) {
-        if self.holding.holds.instance().is_none_or(|present| present == instance) {
+        let present = self.holding.way.start();
+        if present.is_none_or(|present| present.instance == *instance) {
             self.upstream_leaves(now);
         }
         self.dirty = true;
@@ -168,14 +199,23 @@
     /// Returns what the upstream is to hold, `None` when nothing can be granted.
     fn grants(&mut self, now: Time, room: usize) -> Option<(Vec<Granted>, Duration)> {
         let attachment = self.attachment()?;
-        if self.holding.holds.instance() != Some(&attachment.instance) {
+        if !self.is_attached_upstream(attachment) {
             return None;
         }
         let workspace = Arc::clone(&attachment.workspace);
         let state = Arc::clone(&self.state);
         let lease = self.parts.shared.lease.get();
         let wanted = self.wanted(now, &state, state.service(&workspace)?);
-        self.holding.holds.grant(now, lease, &wanted, room)
+        match &mut self.holding.way {
+            Way::Reported(holds) => holds.grant(now, lease, &wanted, room),
+            Way::Called(_) => None,
+        }
+    }
+
+    /// Returns true when the upstream that reports is the one for which this member is attached.
+    pub(super) fn is_attached_upstream(&self, attachment: &Attachment) -> bool {
+        let present = self.holding.way.start();
+        present.is_some_and(|present| present.instance == attachment.instance)
     }
 
     /// Returns the units that this member may serve now.
@@ -191,7 +231,7 @@
             let right = identity.right(now, &live, &service.workspace, unit, assignment);
             let Right::Serve { token, .. } = right else { continue };
             let mut handover = None;
-            if !self.holding.holds.serves(now, unit, token) {
+            if !self.holding.way.serves(now, unit, token, || service.numbers(unit)) {
                 debug!(%unit, token = token.0, ?assignment, "unit is granted anew");
                 let place = (Arc::clone(&service.workspace), unit);
                 handover = self.roles.handovers.get(&place).map(Arc::clone);
@@ -207,10 +247,12 @@
         if !self.holding.reports {
             return;
         }
-        for units in permits.values_mut() {
+        for (workspace, units) in permits.iter_mut() {
+            let service = self.state.service(workspace);
+            let keys = |unit| service.map(|service| service.numbers(unit)).unwrap_or_default();
             for (unit, permit) in units.iter_mut() {
                 if let Permit::Serve { token, .. } = *permit
-                    && !self.holding.holds.serves(now, *unit, token)
+                    && !self.holding.way.serves(now, *unit, token, || keys(*unit))
                 {
                     *permit = Permit::Wait;
                 }
@@ -223,12 +265,12 @@
         let Some(service) = self.state.service(workspace).filter(|s| s.founded) else {
             return false;
         };
-        self.holding.holds.may_hold(now, unit, &service.numbers(unit))
+        self.holding.way.may_hold(now, unit, &service.numbers(unit))
     }
 
     /// Returns true while the upstream may still hold anything.
     pub(super) fn holds_any(&self, now: Time) -> bool {
-        self.holding.reports && self.holding.holds.may_hold_any(now)
+        self.holding.reports && self.holding.way.may_hold_any(now)
     }
 
     /// Returns true when a process that starts anew here takes this one's place at once.
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod holding;
 mod identity;
 mod lease;
+mod ordering;
 mod placement;
 mod proposal;
 mod publish;
@@ -17,6 +18,7 @@
 mod retire;
 mod roles;
 mod snapshot;
+mod way;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -30,6 +32,7 @@
 use acaciaring_core::state::{Phase, Replica, State};
 use acaciaring_core::{MemberId, Name, Time};
 use acaciaring_schema::log::{Join, record};
+use acaciaring_schema::settings::Upstream;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use rand::Rng;
 use tracing::info;
@@ -58,12 +61,19 @@
 use crate::platform::LogService;
 use crate::reader::Wanted;
 use crate::recent::Recent;
+use crate::upstream::Outlet;
 use crate::view::{Link, Shared, View};
 use crate::vital;
 
 /// Longest time between two rounds of the control thread.
 const ROUND: Duration = Duration::from_millis(50);
 
+/// Further events that are handled before a round.
+///
+/// Guards against a member that falls behind: a round looks at all units, and answers to orders and
+/// releases come by the dozen. With a round for each, orders waited until their grants had lapsed.
+const EVENTS: usize = 64;
+
 /// Time between two rounds of slow duties: proposals, lessors, placement.
 const DUTIES: Duration = Duration::from_millis(200);
 
@@ -100,10 +110,10 @@
     /// Log service, for the records that a snapshot covers.
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) declarations: Arc<Declarations>,
-    /// Longest time for which the upstream is told to hold its units.
-    pub(crate) hold: Duration,
-    /// Time between two announcements of the upstream.
-    pub(crate) beat: Duration,
+    /// Client of the upstream, for orders to it.
+    pub(crate) outlet: Arc<dyn Outlet>,
+    /// How the upstream announces itself, and how it is told what to hold.
+    pub(crate) upstream: Upstream,
 }
 
 /// Join of an identity that is not yet in the log.
@@ -154,8 +164,6 @@
     stopping: Option<Time>,
     /// True while this process stops and the next one beside the same upstream takes its place.
     pausing: bool,
-    /// When something about the upstream's holds was to change by time alone.
-    awaited: Option<Time>,
     /// True when rights must be computed anew.
     dirty: bool,
     /// True while the gate takes no new requests.
@@ -170,7 +178,7 @@
 
     fn new(parts: Parts) -> Self {
         let proposals = Proposals::new(parts.appender.clone());
-        let holding = Holding::new(clock::now(), parts.hold);
+        let holding = Holding::new(clock::now(), parts.upstream.grants, parts.upstream.hold);
         Self {
             proposals,
             answers: Answers::default(),
@@ -196,7 +204,6 @@
             duties: Time::ZERO,
             stopping: None,
             pausing: false,
-            awaited: None,
             dirty: true,
             closed: false,
         }
@@ -210,6 +217,9 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            for event in events.try_iter().take(EVENTS) {
+                self.handle(clock::now(), event);
+            }
             let now = clock::now();
             self.round(now);
             if self.finished(now) {
@@ -245,9 +255,7 @@
             Event::Publish(id, publish, reply) => self.publish(now, id, publish, &reply),
             Event::Heartbeat(heartbeat, reply) => self.heartbeat(now, heartbeat, reply),
             Event::Misplaced(workspace, unit) => {
-                info!(%workspace, %unit, "the upstream does not hold what it was given");
-                self.holding.holds.deny(unit);
-                self.dirty = true;
+                self.misplaced(&workspace, unit);
             }
             Event::UpstreamLeaves(instance, reply) => {
                 self.on_upstream_leaves(now, &instance);
@@ -255,6 +263,7 @@
                 // The sender may have gone away.
                 let _ = reply.send(());
             }
+            Event::Ordered(number, answer) => self.on_ordered(now, number, &answer),
             Event::Version(from, version) => self.follow(now, from, version),
             Event::Declared(declared) => {
                 self.declared = Some(declared);
@@ -276,12 +285,12 @@
     }
 
     fn round(&mut self, now: Time) {
-        self.dirty |= self.holding.reports && self.holding.next(now) != self.awaited;
-        self.awaited = self.holding.next(now);
+        self.dirty |= self.holding.is_stale(now);
         self.dirty |= self.paused(now) && !self.parts.shared.view().closed;
         self.renew(now);
         self.cast_votes(now);
         self.refresh(now);
+        self.give_orders(now);
         self.hand_over(now);
         self.answer_report(now);
         if now.since(self.duties) >= DUTIES {
@@ -339,6 +348,7 @@
         }
         self.dirty = false;
         let mut permits = self.permits(now);
+        self.want(now, &permits);
         self.hold_back(now, &mut permits);
         let permits = Arc::new(permits);
         self.take_up_roles(now, &permits);
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -105,7 +105,7 @@
     fn watch_upstream(&mut self, now: Time) {
         let Some(announced) = &self.announced else { return };
         let refused = self.parts.shared.refused.get() > announced.at;
-        let beat = self.parts.beat;
+        let beat = self.parts.upstream.beat;
         let silence = if refused { REFUSED_SILENCE.max(beat * 2) } else { SILENCE.max(beat * 4) };
         if now.since(announced.at) < silence {
             return;
@@ -160,8 +160,8 @@
             for (unit, assignment) in service.units() {
                 if assignment.standby == Some(identity.me) {
                     // Taken over, and still held: whoever stands by next could serve beside it.
-                    let holds = &self.holding.holds;
-                    if self.holding.reports && holds.may_hold(now, unit, &service.numbers(unit)) {
+                    let way = &self.holding.way;
+                    if self.holding.reports && way.may_hold(now, unit, &service.numbers(unit)) {
                         return;
                     }
                     renounced.push((Arc::clone(workspace), unit, assignment.version));
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -134,9 +134,10 @@
         let page = page.transpose().context(PageSnafu)?;
         let log = edges.log(transport.runtime());
         let outbox = Outbox::new(&transport);
+        let outlet = edges.outlet();
         let gate = Arc::new(Gate::new(
             Arc::clone(&shared),
-            edges.outlet(),
+            Arc::clone(&outlet),
             options::gate_settings(settings),
             transport.clone(),
             outbox.clone(),
@@ -208,8 +209,8 @@
             metrics: metrics.clone(),
             log: Arc::clone(&log),
             declarations,
-            hold: settings.upstream.hold,
-            beat: settings.upstream.beat,
+            outlet,
+            upstream: settings.upstream.clone(),
         };
         gauges::start(&parts.shared, &parts.gate, metrics);
         let wait = settings.log.wait;
--- a/acaciaringd/src/inflight.rs
+++ b/acaciaringd/src/inflight.rs
@@ -51,6 +51,14 @@
         keys.filter(|(key, _)| unit_of(**key) == unit).map(|(_, count)| count).sum()
     }
 
+    /// Returns true when no request is in flight for a range of keys that are numbers.
+    pub(crate) fn is_idle(&self, workspace: &str, first: u32, last: u32) -> bool {
+        let range = u64::from(first)..=u64::from(last);
+        let counts = self.counts.lock();
+        let mut places = counts.iter().filter(|((place, _), _)| **place == *workspace);
+        !places.any(|(_, keys)| keys.keys().any(|key| range.contains(&key.0)))
+    }
+
     /// Returns how many requests are in flight in all.
     pub(crate) fn total(&self) -> usize {
         self.counts.lock().values().flat_map(HashMap::values).sum()
--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -40,7 +40,7 @@
 use crate::trace::{Hex, TRACEPARENT, TraceContext};
 pub use crate::upstream::answer::UpstreamAnswer;
 pub(crate) use crate::upstream::outlet::Direct;
-pub use crate::upstream::outlet::{Outlet, OutletCall};
+pub use crate::upstream::outlet::{OrderCall, Outlet, OutletCall};
 use crate::upstream::transport::{Literal, Marking};
 
 /// Settings of the client of the upstream.
--- a/acaciaringd/src/upstream/outlet.rs
+++ b/acaciaringd/src/upstream/outlet.rs
@@ -1,10 +1,12 @@
 //! The way out to the upstream: what the gate asks of a client of the upstream.
 
+use std::future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::{Reason, Refusal, RequestId, Verdict};
+use acaciaring_core::orders::{Answer, Order};
+use acaciaring_core::{Reason, Refusal, RequestId, Time, Verdict};
 use tokio::task::spawn_blocking;
 use tracing::error;
 
@@ -40,6 +42,21 @@
     pub instance: Arc<str>,
 }
 
+/// Order to the upstream to hold keys or to give them back.
+#[derive(Debug, Clone)]
+pub struct OrderCall {
+    /// Address that the upstream has announced.
+    pub address: SocketAddr,
+    /// The order.
+    pub order: Order,
+    /// Time at which it is given up: its connection is closed before the answer is returned.
+    pub reach: Time,
+    /// True when it may go over a new connection.
+    pub connects: bool,
+    /// Start of the upstream that is meant, empty where it names none.
+    pub instance: Arc<str>,
+}
+
 /// Client of the upstream.
 pub trait Outlet: Send + Sync + 'static {
     /// Sends a request once and waits for its whole answer, at most `left`.
@@ -51,6 +68,13 @@
         call: OutletCall,
         cancelled: &'a CancelFlag,
     ) -> Pending<'a, Result<UpstreamAnswer, Refusal>>;
+
+    /// Gives an order once and waits for its answer, up to its reach.
+    ///
+    /// An upstream whose protocol knows no orders takes none.
+    fn order(&self, _call: OrderCall) -> Pending<'_, Answer> {
+        Box::pin(future::ready(Answer::Rejected))
+    }
 }
 
 /// Outlet over the project's own protocol, whose client blocks a thread for each call.
--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -115,6 +115,15 @@
     kept: Option<Idle>,
 }
 
+/// What came of a request that may go over a kept connection only.
+#[derive(Debug)]
+pub enum Kept {
+    /// It was sent.
+    Settled(Result<Exchange, ExchangeError>),
+    /// No kept connection is usable; the request was not sent.
+    None(hyper::Request<Full<Bytes>>),
+}
+
 #[derive(Debug)]
 struct Idle {
     address: SocketAddr,
@@ -136,7 +145,7 @@
         Self { settings, idle: Mutex::new(Vec::new()) }
     }
 
-    /// Sends a request once and reads its whole answer.
+    /// Sends a request once, over a kept connection or a new one, and reads its whole answer.
     ///
     /// The caller bounds the time and drops the future; that closes the connection.
     ///
@@ -148,17 +157,11 @@
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        let (mut sender, reused, request) = match self.take(address) {
-            Some(mut sender) => match sender.try_send_request(request).await {
-                Ok(response) => return self.receive(address, sender, true, response).await,
-                Err(mut error) => match error.take_message() {
-                    // Closed while idle, and surely not sent.
-                    Some(request) => (self.connect(address).await?, false, request),
-                    None => return Err(lost(address, error.into_error())),
-                },
-            },
-            None => (self.connect(address).await?, false, request),
+        let request = match self.exchange_kept(address, request).await {
+            Kept::Settled(settled) => return settled,
+            Kept::None(request) => request,
         };
+        let (mut sender, reused) = (self.connect(address).await?, false);
         match sender.try_send_request(request).await {
             Ok(response) => self.receive(address, sender, reused, response).await,
             Err(mut error) => {
@@ -173,6 +176,23 @@
         }
     }
 
+    /// Sends a request once over a kept connection, if there is one, and reads its whole answer.
+    pub async fn exchange_kept(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Kept {
+        let Some(mut sender) = self.take(address) else { return Kept::None(request) };
+        match sender.try_send_request(request).await {
+            Ok(response) => Kept::Settled(self.receive(address, sender, true, response).await),
+            Err(mut error) => match error.take_message() {
+                // Closed while idle, and surely not sent.
+                Some(request) => Kept::None(request),
+                None => Kept::Settled(Err(lost(address, error.into_error()))),
+            },
+        }
+    }
+
     /// Gives the connection of an exchange back, for the next request.
     ///
     /// To be called only when the answer is proved to be that of the request.
