Search a model of grants by call; keep what may be held over a start

It found, in nine steps, a fault: an upstream that starts again is granted its range over a new connection before its first report, and that report made this member take it for holding nothing; the range then passed on and had two holders. What it may hold stays bounded now over a start, and a release is given.

--- a/acaciaring_core/src/holds/epoch.rs
+++ b/acaciaring_core/src/holds/epoch.rs
@@ -16,7 +16,7 @@
 /// Guards against an upstream that starts again under its name while its assignment stays: a grant
 /// under the token that the former start had would not be above all earlier ones. The tokens of
 /// an assignment are spread, so that there is room for a count below the next one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Epoch {
     count: u64,
     raised: Option<Time>,
--- a/acaciaring_core/src/holds/starts.rs
+++ b/acaciaring_core/src/holds/starts.rs
@@ -10,7 +10,7 @@
 const FORMER: usize = 32;
 
 /// One start of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Start {
     /// Name of the upstream, which may outlast a start.
     pub instance: Name,
@@ -35,7 +35,7 @@
 }
 
 /// What became of a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Report {
     /// It is the newest of the present upstream.
     Newest,
@@ -46,7 +46,7 @@
 }
 
 /// Start that may have taken the place of the present one.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Candidate {
     start: Start,
     sequence: u64,
@@ -54,7 +54,7 @@
 }
 
 /// The present start of the upstream, and former ones.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Starts {
     present: Option<Start>,
     sequence: u64,
--- a/acaciaring_core/src/orders.rs
+++ b/acaciaring_core/src/orders.rs
@@ -40,7 +40,7 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Order under way.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Open {
     order: Order,
     /// Token of the assignment, without the epoch.
@@ -51,7 +51,7 @@
 }
 
 /// What the upstream beside this member holds by order.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Orders {
     /// Longest time for which a grant is given.
     hold: Duration,
@@ -111,12 +111,13 @@
 
     /// Notes that another start of the upstream has taken the place of the present one.
     ///
-    /// It holds nothing. What was ordered before and not answered is remembered: who carries orders
-    /// out late may do so after a start. Tokens rise, for the keys pass to another holder.
+    /// It holds nothing but what it was granted between its start and its first report, over a new
+    /// connection, and nobody knows which grants those are. So the bounds on what it may hold stay, and
+    /// all is granted anew. Tokens rise, for the keys pass to another holder.
     fn restarted(&mut self, now: Time) {
         self.epoch.raise(now);
         self.replaced += 1;
-        self.pieces.all_mut().for_each(Piece::forget);
+        self.pieces.all_mut().for_each(Piece::deny);
         self.changed = true;
     }
 
--- a/acaciaring_core/src/orders/order.rs
+++ b/acaciaring_core/src/orders/order.rs
@@ -6,7 +6,7 @@
 use crate::time::Time;
 
 /// Order to hold a range of keys, or to give it back.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Order {
     /// First key.
     pub first: u32,
@@ -19,7 +19,7 @@
 }
 
 /// What an upstream is to do with a range of keys.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Action {
     /// Hold it for a time that counts from the arrival of the order.
     Grant {
@@ -33,7 +33,7 @@
 }
 
 /// Order that is to be sent now.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Issued {
     /// Number of the order, never used again.
     pub number: u64,
@@ -50,7 +50,7 @@
 }
 
 /// What came of an order.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Answer {
     /// It is carried out.
     Done {
@@ -70,7 +70,7 @@
 }
 
 /// Range of keys of an order whose answer has come, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Settled {
     /// The order.
     pub order: Order,
--- a/acaciaring_core/src/orders/piece.rs
+++ b/acaciaring_core/src/orders/piece.rs
@@ -16,7 +16,7 @@
 const RENEW_PART: u32 = 2;
 
 /// Grant that the upstream has confirmed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Grant {
     token: Token,
     /// When it is to be renewed.
@@ -26,7 +26,7 @@
 }
 
 /// Piece of the keys.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Piece {
     pub(super) last: u32,
     /// True while the upstream is to hold it.
@@ -89,13 +89,7 @@
         self.handover = Name::clone(handover);
     }
 
-    /// Forgets what the upstream holds by its word, for another start of it holds nothing.
-    pub(super) fn forget(&mut self) {
-        self.grant = None;
-        self.held = Time::ZERO;
-        self.pause = Time::ZERO;
-    }
-
+    /// Notes that the upstream does not hold the piece, as far as is known.
     pub(super) fn deny(&mut self) {
         self.grant = None;
     }
@@ -214,7 +208,7 @@
 }
 
 /// Pieces by their first keys; they do not overlap.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct Pieces(BTreeMap<u32, Piece>);
 
 impl Pieces {
--- a/acaciaring_core/tests/orders.rs
+++ b/acaciaring_core/tests/orders.rs
@@ -327,3 +327,18 @@
     let issued = decide(&mut orders, at(20) + HOLD / 2);
     assert!(issued.iter().any(|issued| issued.order.action == Action::Release));
 }
+
+/// The server starts again and is granted its keys over a new connection before it reports.
+/// Its report does not mean that it holds nothing: while it may, nobody else gets the keys.
+#[test]
+fn what_was_granted_before_the_first_report_counts_as_held() {
+    let mut orders = steady();
+    let now = at(4000) + HOLD / 2;
+    connect(&mut orders, now);
+    let reported = now + Duration::from_millis(50);
+    assert_eq!(orders.report(reported, &start(2), 1), Report::Another);
+    orders.want(&[]);
+    assert!(may_hold(&orders, reported, 1));
+    let issued = decide(&mut orders, reported);
+    assert_eq!(issued[0].order.action, Action::Release);
+}
--- a/acaciaring_model/src/lib.rs
+++ b/acaciaring_model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod lease;
 mod mutation;
+pub mod orders;
 pub mod pool;
 pub mod records;
 pub mod search;
--- a/acaciaring_model/src/mutation.rs
+++ b/acaciaring_model/src/mutation.rs
@@ -47,4 +47,14 @@
     AcceptedEarly,
     /// A joining member takes a state without its offset and reads on at the end of the log.
     SnapshotWithoutOffset,
+    /// An order without answer counts as one that was not carried out.
+    SilenceIsRefusal,
+    /// A grant's time counts from the decision, not from the latest arrival.
+    HoldFromDecision,
+    /// Orders go over new connections under the token that a former start may have had.
+    OldTokenReconnects,
+    /// A process that starts anew takes what it has not ordered for free.
+    FormerOrdersForgotten,
+    /// A grant may outlast the lease.
+    GrantPastLease,
 }
