--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -27,6 +27,9 @@
 /// of it.
 const LATE_PART: u32 = 8;
 
+/// The same while requests run that it may pass: it gets the next slot that one of them frees.
+const PASSING_PART: u32 = 2;
+
 /// Count of ranks.
 const RANKS: usize = 4;
 
@@ -96,7 +99,7 @@
     ///
     /// Guards against a queue in which each request waits until its answer is late: under a load
     /// above its capacity an upstream would answer everybody late. Those that can be in time
-    /// go first, the late ones take what is left.
+    /// go first, the late ones take what is left; but see [`Admission::passes`].
     late: Waiting<T>,
     times: ServiceTimes,
     /// Slot time, in seconds, that each rank is owed for having been passed over.
@@ -234,16 +237,16 @@
         refused
     }
 
-    /// Returns the late requests that cannot be served any more behind all that is in time.
+    /// Returns the late requests that cannot be served any more behind what goes before them.
     fn hopeless(&self, now: Time) -> Vec<u64> {
         let mut hopeless = Vec::new();
         let slots = f64::from(self.capacity(now));
-        let in_time: f64 = ORDER.into_iter().map(|rank| self.waiting.work(rank, &self.times)).sum();
-        let mut ahead = self.residual(now) + in_time;
+        let mut ahead = self.residual(now);
         for rank in ORDER {
             let needed = self.times.cautious(rank, 0.0);
+            let in_time = self.in_time_before(rank);
             for ticket in self.late.tickets(rank) {
-                let wait = Duration::from_secs_f64(ahead / slots);
+                let wait = Duration::from_secs_f64((ahead + in_time) / slots);
                 if now + wait + needed > ticket.last {
                     hopeless.push(ticket.attempt);
                 } else {
@@ -261,13 +264,15 @@
     /// nothing, and could have come back meanwhile. With an eighth in place of a half, the worth of
     /// three days above capacity rose from 0.05, 0.18 and 0.36 to 0.25, 0.38 and 0.40.
     fn push_late(&mut self, now: Time, ticket: Ticket, item: T) {
-        let last = now + ticket.last.since(now) / LATE_PART;
+        let passes = self.running.values().any(|rank| self.passes(ticket.rank, *rank));
+        let part = if passes { PASSING_PART } else { LATE_PART };
+        let last = now + ticket.last.since(now) / part;
         self.late.push(Ticket { deadline: last, last, ..ticket }, item);
     }
 
     /// Queues a request that would miss its deadline but be of use later, or refuses it.
     fn offer_late(&mut self, now: Time, ticket: Ticket, item: T) -> Offer<T> {
-        let wait = self.wait_behind_all(now);
+        let wait = self.wait_late(now, ticket.rank);
         let done = now + wait + self.times.cautious(ticket.rank, self.settings.caution);
         if ticket.last <= ticket.deadline
             || done > ticket.last
@@ -372,7 +377,7 @@
     /// With room and nothing in time waiting, it starts whatever the estimates say. Else an upstream whose
     /// estimate once exceeded all deadlines would never be tried again, and the estimate never fall.
     fn may_start_newcomer(&self, now: Time) -> bool {
-        self.room(now) && self.next(now).is_none()
+        self.room(now) && ORDER.into_iter().all(|rank| self.first_in_time(now, rank).is_none())
     }
 
     /// Takes a request out of either queue.
@@ -397,7 +402,7 @@
     fn start_waiting(&mut self, now: Time) -> Vec<T> {
         let mut started = Vec::new();
         while self.mode == Mode::Open && self.room(now) {
-            let Some(attempt) = self.next(now).or_else(|| self.late.first()) else { break };
+            let Some(attempt) = self.next(now) else { break };
             let Some((ticket, item)) = self.take(attempt) else { break };
             self.note_start(ticket);
             started.push(item);
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -4,12 +4,14 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::queue::Waiting;
 use super::{Admission, Mode, ORDER, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
 use crate::verdict::{Reason, Refusal};
 
+/// How many times as long the requests must take that a late one passes.
+const SHORTER: f64 = 3.0;
+
 impl<T> Admission<T> {
     /// Returns the time until a newcomer with this ticket would start.
     pub(super) fn predicted_wait(&self, now: Time, ticket: Ticket) -> Duration {
@@ -22,15 +24,31 @@
         self.bounded_wait(ticket.rank, ahead, own, f64::from(self.capacity(now)))
     }
 
-    /// Returns the time until all that waits now has started.
-    pub(super) fn wait_behind_all(&self, now: Time) -> Duration {
-        let work = |queue: &Waiting<T>| -> f64 {
-            ORDER.into_iter().map(|rank| queue.work(rank, &self.times)).sum()
-        };
-        let all = self.residual(now) + work(&self.waiting) + work(&self.late);
+    /// Returns the time until a newcomer of a rank would start that is late.
+    pub(super) fn wait_late(&self, now: Time, rank: Rank) -> Duration {
+        let late = |other| self.late.work(other, &self.times);
+        let before = ORDER.into_iter().filter(|other| !self.passes(rank, *other));
+        let all = self.residual(now) + self.in_time_before(rank) + before.map(late).sum::<f64>();
         Duration::from_secs_f64(all / f64::from(self.capacity(now)))
     }
 
+    /// Returns the slot time of what is in time and goes before a late request of a rank, in seconds.
+    pub(super) fn in_time_before(&self, rank: Rank) -> f64 {
+        let before = ORDER.into_iter().filter(|other| !self.passes(rank, *other));
+        before.map(|other| self.waiting.work(other, &self.times)).sum()
+    }
+
+    /// Returns true when a late request of a rank goes before one of another that is in time.
+    ///
+    /// It is more important and so short that the other is hardly delayed. Guards against calls of
+    /// running requests that are refused behind long reads: late by their own aim they are as good as in
+    /// time, without them the requests that make them fail, and the slot time that these took is lost.
+    /// On a day with one of three upstreams left 1,375 tries ended so, with this 258. Among requests of
+    /// like length a late one is worth less than one in time.
+    pub(super) fn passes(&self, rank: Rank, other: Rank) -> bool {
+        rank < other && self.times.mean(rank) * SHORTER <= self.times.mean(other)
+    }
+
     /// Returns the wait behind `ahead` of other ranks and `own` of the same, in seconds of slot time.
     pub(super) fn bounded_wait(&self, rank: Rank, ahead: f64, own: f64, slots: f64) -> Duration {
         let behind_all = (ahead + own) / slots;
--- a/acaciaring_core/src/admission/queue.rs
+++ b/acaciaring_core/src/admission/queue.rs
@@ -64,6 +64,11 @@
         heads.next().map(|(_, (ticket, _))| ticket.attempt)
     }
 
+    /// Returns the attempt of a rank with the earliest deadline.
+    pub(super) fn first_of(&self, rank: Rank) -> Option<u64> {
+        self.ranks[rank as usize].first_key_value().map(|(_, (ticket, _))| ticket.attempt)
+    }
+
     /// Returns the attempt of a rank with the latest deadline.
     pub(super) fn last(&self, rank: Rank) -> Option<u64> {
         self.ranks[rank as usize].last_key_value().map(|(_, (ticket, _))| ticket.attempt)
--- a/acaciaring_core/src/admission/select.rs
+++ b/acaciaring_core/src/admission/select.rs
@@ -2,27 +2,32 @@
 
 use std::time::Duration;
 
-use super::{Admission, ORDER};
+use super::{Admission, ORDER, RANKS};
 use crate::route::Rank;
 use crate::time::Time;
 use crate::verdict::Reason;
 
 impl<T> Admission<T> {
-    /// Returns the waiting request that starts next; those that would be late are passed over.
+    /// Returns the waiting request that starts next; late ones come last, but for those that may pass.
     pub(super) fn next(&self, now: Time) -> Option<u64> {
         let heads = ORDER.map(|rank| self.first_in_time(now, rank));
-        if heads[0].is_some() {
-            return heads[0];
+        let Some((rank, attempt)) = self.next_in_time(heads) else { return self.late.first() };
+        let passing = ORDER.into_iter().filter(|late| self.passes(*late, rank));
+        passing.filter_map(|late| self.late.first_of(late)).next().or(Some(attempt))
+    }
+
+    fn next_in_time(&self, heads: [Option<u64>; RANKS]) -> Option<(Rank, u64)> {
+        let ranked = || ORDER.into_iter().zip(heads).filter_map(|(r, head)| Some((r, head?)));
+        if let Some(critical) = heads[0] {
+            return Some((Rank::Critical, critical));
         }
-        let owed = ORDER
-            .into_iter()
-            .zip(heads)
-            .filter(|(rank, head)| head.is_some() && self.overdue(*rank))
+        let owed = ranked()
+            .filter(|(rank, _)| self.overdue(*rank))
             .max_by(|(a, _), (b, _)| self.credit[*a as usize].total_cmp(&self.credit[*b as usize]));
-        owed.and_then(|(_, head)| head).or_else(|| heads.into_iter().flatten().next())
+        owed.or_else(|| ranked().next())
     }
 
-    fn first_in_time(&self, now: Time, rank: Rank) -> Option<u64> {
+    pub(super) fn first_in_time(&self, now: Time, rank: Rank) -> Option<u64> {
         let needed = Duration::from_secs_f64(self.times.mean(rank));
         let mut tickets = self.waiting.tickets(rank);
         tickets.find(|ticket| now + needed <= ticket.deadline).map(|ticket| ticket.attempt)
--- a/acaciaring_core/tests/admission.rs
+++ b/acaciaring_core/tests/admission.rs
@@ -335,3 +335,42 @@
     let tallies = flood(0.8, true);
     assert!(sum(&tallies, |tally| tally.tries - tally.hops) < 1.0);
 }
+
+/// Makes a gate with two slots at which calls take `call` and reads `read`, both slots busy with reads, and
+/// one more read that waits. Then a call comes that can only be late by its own aim.
+/// Returns what starts when the first read ends.
+fn next_after_a_late_call(call: Duration, read: Duration) -> Vec<&'static str> {
+    let mut admission =
+        Admission::new(AdmissionSettings { slots: 2, ..AdmissionSettings::default() });
+    let start = Time::from_millis(1_000);
+    let far = start + ms(60_000);
+    for (attempt, rank, took) in
+        [(1, Rank::Interactive, call), (2, Rank::Bulk, read), (3, Rank::Bulk, read)]
+    {
+        let offered = admission.offer(start, ticket(rank, far, attempt), "warms up");
+        assert!(matches!(offered, Offer::Start(_)));
+        admission.finish(start, attempt, took, Ending::Answered);
+    }
+    for attempt in [4, 5] {
+        let offered = admission.offer(start, ticket(Rank::Bulk, far, attempt), "read");
+        assert!(matches!(offered, Offer::Start(_)));
+    }
+    let waits = admission.offer(start, ticket(Rank::Bulk, far, 6), "read");
+    assert!(matches!(waits, Offer::Queued { .. }));
+    let aim = start + ms(5);
+    let late = Ticket { last: start + ms(2_000), ..ticket(Rank::Interactive, aim, 7) };
+    let offered = admission.offer(start, late, "call");
+    if matches!(offered, Offer::Refused(..)) {
+        return vec!["refused"];
+    }
+    admission.finish(start + ms(20), 4, read, Ending::Answered)
+}
+
+// A clerk's request runs and asks the records service for a limit. All places there are taken by archive
+// reads ten times as long. The call is late by its own short aim, and the clerk's request fails without it:
+// it must get the next place. Among requests of like length the late one must not pass one in time.
+#[test]
+fn a_short_call_passes_long_reads_though_it_is_late() {
+    assert_eq!(next_after_a_late_call(ms(50), ms(500)), ["call"]);
+    assert_eq!(next_after_a_late_call(ms(50), ms(60)), ["read"]);
+}
--- /dev/null
+++ b/acaciaring_core/tests/orders_schedule.rs
@@ -0,0 +1,215 @@
+//! Random schedules of orders: what an upstream really holds against what its member believes.
+
+use std::time::Duration;
+
+use acaciaring_core::holds::{Start, Wanted};
+use acaciaring_core::orders::{Action, Answer, Issued, Orders, REACH};
+use acaciaring_core::{Name, Time, Token, UnitId};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const HOLD: Duration = Duration::from_secs(3);
+
+/// Slots of the service, with 16 keys each.
+const SLOTS: u32 = 6;
+
+/// Clock of an upstream runs slow by this.
+const SLOW: f64 = 1.02;
+
+/// What happens to an order.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    /// Carried out, and its answer is lost.
+    Muted,
+    /// Arrives, and is carried out after so many milliseconds.
+    Late(u64),
+    Lost,
+}
+
+/// What happens next.
+#[derive(Debug, Clone)]
+enum Event {
+    Pass(u64),
+    /// The member is to serve these slots, each under a new token where it did not before.
+    Want(Vec<bool>),
+    Orders(Vec<Fate>),
+    /// The upstream starts again under its name, with or without a report of it.
+    Start(bool),
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::Muted),
+        2 => (100_u64..6_000).prop_map(Fate::Late),
+        1 => Just(Fate::Lost),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (1_u64..700).prop_map(Event::Pass),
+        2 => prop::collection::vec(any::<bool>(), SLOTS as usize).prop_map(Event::Want),
+        6 => prop::collection::vec(fate(), 1..12).prop_map(Event::Orders),
+        1 => any::<bool>().prop_map(Event::Start),
+    ]
+}
+
+/// Upstream as it really is: for each slot the highest token seen and the end of its hold.
+#[derive(Debug, Clone)]
+struct Upstream {
+    seen: Vec<Token>,
+    until: Vec<Time>,
+    /// For each slot the highest token that a former life had.
+    former: Vec<Token>,
+    born: u64,
+}
+
+impl Upstream {
+    /// Carries out an order that arrived at a time; the slots it concerns are whole.
+    fn carry(&mut self, now: Time, issued: &Issued, arrived: Time) -> Answer {
+        let slots = (issued.order.first / 16) as usize..=(issued.order.last / 16) as usize;
+        match &issued.order.action {
+            Action::Release => {
+                slots.for_each(|slot| self.until[slot] = now);
+                Answer::Done { handover: Name::from("h") }
+            }
+            Action::Grant { hold, .. } => {
+                let token = issued.order.token;
+                if slots.clone().any(|slot| self.seen[slot] > token) {
+                    return Answer::Superseded;
+                }
+                let until = arrived + hold.mul_f64(SLOW);
+                if now < until {
+                    for slot in slots {
+                        assert!(
+                            token > self.former[slot],
+                            "slot {slot} under a token of a life before"
+                        );
+                        self.seen[slot] = token;
+                        self.until[slot] = self.until[slot].max(until);
+                    }
+                }
+                Answer::Done { handover: Name::from("") }
+            }
+        }
+    }
+}
+
+/// Plays a schedule and checks after each step that nothing is held that is believed free.
+fn play(events: Vec<Event>) {
+    let mut now = Time::from_millis(60_000);
+    let mut orders = Orders::new(Time::ZERO, HOLD);
+    let none = vec![Time::ZERO; SLOTS as usize];
+    let mut upstream = Upstream {
+        seen: vec![Token(0); SLOTS as usize],
+        until: none.clone(),
+        former: vec![Token(0); SLOTS as usize],
+        born: 1,
+    };
+    orders.report(now, &start(1), 1);
+    let mut connected = false;
+    let mut tokens = vec![0; SLOTS as usize];
+    let mut next = 2;
+    let mut silent: Vec<(Time, Issued)> = Vec::new();
+    let mut late: Vec<(Time, Issued, Time)> = Vec::new();
+    for event in events {
+        match event {
+            Event::Pass(millis) => now = now + Duration::from_millis(millis),
+            Event::Want(slots) => {
+                for (token, wanted) in tokens.iter_mut().zip(&slots) {
+                    *token = if !wanted {
+                        0
+                    } else if *token == 0 {
+                        next
+                    } else {
+                        *token
+                    };
+                }
+                next += 2;
+                let units = (0..).zip(&tokens).filter(|(_, token)| **token > 0);
+                let wanted: Vec<Wanted> = units.map(|(slot, token)| wanted(slot, *token)).collect();
+                orders.want(&wanted);
+            }
+            Event::Orders(fates) => {
+                let issued = orders.decide(now, now + HOLD, |_, _| true);
+                for (issued, fate) in issued.into_iter().zip(fates.iter().cycle()) {
+                    if !connected && !issued.connects {
+                        orders.settle(now, issued.number, &Answer::Unconnected);
+                        continue;
+                    }
+                    connected = true;
+                    match fate {
+                        Fate::Answered => {
+                            let answer = upstream.carry(now, &issued, now);
+                            orders.settle(now, issued.number, &answer);
+                        }
+                        Fate::Muted => {
+                            upstream.carry(now, &issued, now);
+                            silent.push((issued.reach, issued));
+                        }
+                        Fate::Late(millis) => {
+                            let when = now + Duration::from_millis(*millis);
+                            late.push((when, issued.clone(), now));
+                            silent.push((issued.reach, issued));
+                        }
+                        Fate::Lost => silent.push((issued.reach, issued)),
+                    }
+                }
+            }
+            Event::Start(reports) => {
+                for (former, seen) in upstream.former.iter_mut().zip(&upstream.seen) {
+                    *former = (*former).max(*seen);
+                }
+                upstream.born += 1;
+                upstream.seen.fill(Token(0));
+                upstream.until.clone_from(&none);
+                connected = false;
+                late.clear();
+                // An upstream takes its time to start.
+                now = now + Duration::from_millis(150);
+                if reports {
+                    orders.report(now, &start(upstream.born), 1);
+                }
+            }
+        }
+        for (_, issued) in silent.extract_if(.., |(reach, _)| *reach <= now) {
+            orders.settle(now, issued.number, &Answer::Unknown);
+        }
+        for (_, issued, arrived) in late.extract_if(.., |(when, ..)| *when <= now) {
+            upstream.carry(now, &issued, arrived);
+        }
+        for slot in 0..SLOTS {
+            let held = now < upstream.until[slot as usize];
+            let believed = orders.may_hold(now, &wanted(slot, 0).keys);
+            assert!(believed || !held, "slot {slot} is held, and believed free");
+        }
+    }
+}
+
+fn start(born: u64) -> Start {
+    Start { instance: "i-1".into(), born }
+}
+
+fn wanted(slot: u32, token: u64) -> Wanted {
+    let keys = std::iter::once(slot * 16..=slot * 16 + 15).collect();
+    Wanted { unit: UnitId::slot(slot), token: Token(token), keys, handover: "".into() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(14),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Orders get lost, stay without answer and are carried out late, the upstream starts again, units
+    /// come and go. What a member believes to be free is free, and each life gets higher tokens.
+    #[test]
+    fn nothing_is_held_that_is_believed_free(events in prop::collection::vec(event(), 1..120)) {
+        assert!(REACH < HOLD);
+        play(events);
+    }
+}
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -193,7 +193,7 @@
                 settings.listen.advertised.unwrap_or(transport.local_addr()),
                 doors.callers(),
             ),
-            lease: options::lease_settings(&settings.lease),
+            lease: options::lease_settings(&settings.lease, settings.upstream.grants),
             drain: settings.limits.drain,
             interval: settings.balance.interval,
             balance: options::balance_settings(settings),
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemon's parts, from the settings file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use acaciaring_core::admission::AdmissionSettings;
 use acaciaring_core::balance::BalanceSettings;
@@ -8,7 +9,7 @@
 use acaciaring_core::lease::LeaseSettings;
 use acaciaring_core::retry::RetrySettings;
 use acaciaring_core::state::HOT_MAX;
-use acaciaring_schema::settings::{Lease, Settings};
+use acaciaring_schema::settings::{Lease, Settings, UpstreamGrants};
 
 use crate::control::Place;
 use crate::entry::EntrySettings;
@@ -20,6 +21,13 @@
 /// Room for headers and the like in a message between members, in bytes.
 const ENVELOPE: u64 = 256 << 10;
 
+/// Longest term of a lease where upstreams are told by calls what to hold.
+///
+/// With it and the times that follow, in place of 3 s, the days of one deployment were worth 0.417 in the
+/// mean in place of 0.376 without the charge for processor time, most on a day that loses three of eight
+/// VMs (0.402 of 0.242). Where reports renew holds the same cost 0.23 of a score.
+const CALLED_TERM: Duration = Duration::from_secs(2);
+
 /// Returns the client of the log service.
 pub(super) fn log_client(settings: &Settings) -> LogClient {
     let timeout = settings.log.timeout;
@@ -99,13 +107,25 @@
 }
 
 /// Returns the times that govern leases.
-pub(super) fn lease_settings(lease: &Lease) -> LeaseSettings {
-    LeaseSettings {
+///
+/// A term has to outlast a late report where reports renew what an upstream holds. Where calls do, a
+/// shorter one costs nothing, and the keys of a lost member are served sooner.
+pub(super) fn lease_settings(lease: &Lease, grants: UpstreamGrants) -> LeaseSettings {
+    let settings = LeaseSettings {
         interval: lease.interval,
         resend: lease.resend,
         term: lease.term,
         margin: lease.margin,
         abandon: lease.abandon,
+    };
+    match grants {
+        UpstreamGrants::Heartbeat => settings,
+        UpstreamGrants::Call => LeaseSettings {
+            interval: settings.interval.min(CALLED_TERM / 4),
+            term: settings.term.min(CALLED_TERM),
+            abandon: settings.abandon.min(CALLED_TERM * 2),
+            ..settings
+        },
     }
 }
 
