--- a/acaciaring_core/src/admission/select.rs
+++ b/acaciaring_core/src/admission/select.rs
@@ -12,8 +12,8 @@
     pub(super) fn next(&self, now: Time) -> Option<u64> {
         let heads = ORDER.map(|rank| self.first_in_time(now, rank));
         let Some((rank, attempt)) = self.next_in_time(heads) else { return self.late.first() };
-        let passing = ORDER.into_iter().filter(|late| self.passes(*late, rank));
-        passing.filter_map(|late| self.late.first_of(late)).next().or(Some(attempt))
+        let mut passing = ORDER.into_iter().filter(|late| self.passes(*late, rank));
+        passing.find_map(|late| self.late.first_of(late)).or(Some(attempt))
     }
 
     fn next_in_time(&self, heads: [Option<u64>; RANKS]) -> Option<(Rank, u64)> {
