Ask once for the way in which an upstream is told, and share what stood twice

Left over from the work on grants by call: the reply to a report asked twice how the upstream is told, the work before a late request was summed in two places, two stories of a leaving server had the same end, and each range asked anew which keys are in flight. A census that nobody read goes.

--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -244,7 +244,7 @@
         let mut ahead = self.residual(now);
         for rank in ORDER {
             let needed = self.times.cautious(rank, 0.0);
-            let in_time = self.in_time_before(rank);
+            let in_time = self.work_before(&self.waiting, rank);
             for ticket in self.late.tickets(rank) {
                 let wait = Duration::from_secs_f64((ahead + in_time) / slots);
                 if now + wait + needed > ticket.last {
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::queue::Waiting;
 use super::{Admission, Mode, ORDER, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
@@ -26,16 +27,16 @@
 
     /// Returns the time until a newcomer of a rank would start that is late.
     pub(super) fn wait_late(&self, now: Time, rank: Rank) -> Duration {
-        let late = |other| self.late.work(other, &self.times);
-        let before = ORDER.into_iter().filter(|other| !self.passes(rank, *other));
-        let all = self.residual(now) + self.in_time_before(rank) + before.map(late).sum::<f64>();
+        let all = self.residual(now)
+            + self.work_before(&self.waiting, rank)
+            + self.work_before(&self.late, rank);
         Duration::from_secs_f64(all / f64::from(self.capacity(now)))
     }
 
-    /// Returns the slot time of what is in time and goes before a late request of a rank, in seconds.
-    pub(super) fn in_time_before(&self, rank: Rank) -> f64 {
+    /// Returns the slot time of what goes before a late request of a rank in a queue, in seconds.
+    pub(super) fn work_before(&self, queue: &Waiting<T>, rank: Rank) -> f64 {
         let before = ORDER.into_iter().filter(|other| !self.passes(rank, *other));
-        before.map(|other| self.waiting.work(other, &self.times)).sum()
+        before.map(|other| queue.work(other, &self.times)).sum()
     }
 
     /// Returns true when a late request of a rank goes before one of another that is in time.
--- a/acaciaring_core/src/admission/queue.rs
+++ b/acaciaring_core/src/admission/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::service::ServiceTimes;
-use super::{RANKS, Ticket};
+use super::{ORDER, RANKS, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
 
@@ -60,8 +60,7 @@
 
     /// Returns the attempt with the earliest deadline of the most important rank.
     pub(super) fn first(&self) -> Option<u64> {
-        let mut heads = self.ranks.iter().filter_map(BTreeMap::first_key_value);
-        heads.next().map(|(_, (ticket, _))| ticket.attempt)
+        ORDER.into_iter().find_map(|rank| self.first_of(rank))
     }
 
     /// Returns the attempt of a rank with the earliest deadline.
--- a/acaciaring_core/src/orders.rs
+++ b/acaciaring_core/src/orders.rs
@@ -268,12 +268,6 @@
         keys.iter().any(|keys| self.pieces.meeting(keys).any(Piece::is_superseded))
     }
 
-    /// Returns how many pieces of the keys are wanted, and how many orders are under way.
-    #[must_use]
-    pub fn census(&self) -> (usize, usize) {
-        (self.pieces.all().filter(|piece| piece.wanted).count(), self.open.len())
-    }
-
     fn under_way(&self, releases: bool) -> usize {
         let fits = |open: &&Open| (open.order.action == Action::Release) == releases;
         self.open.values().filter(fits).count()
--- a/acaciaring_core/src/orders/piece.rs
+++ b/acaciaring_core/src/orders/piece.rs
@@ -61,14 +61,14 @@
 }
 
 impl Piece {
-    const fn new(last: u32, token: Token, handover: Name, freed: Name) -> Self {
+    fn new(last: u32, token: Token, handover: Name) -> Self {
         Self {
             last,
             wanted: true,
             token,
             handover,
             open: None,
-            freed,
+            freed: Name::from(""),
             grant: None,
             held: Time::ZERO,
             unsure: Time::ZERO,
@@ -279,7 +279,7 @@
             gaps.push((next, last));
         }
         for (first, last) in gaps {
-            let piece = Piece::new(last, token, Name::clone(handover), Name::from(""));
+            let piece = Piece::new(last, token, Name::clone(handover));
             self.0.insert(first, piece);
         }
     }
--- a/acaciaringd/src/control/holding.rs
+++ b/acaciaringd/src/control/holding.rs
@@ -75,13 +75,17 @@
 
     /// Returns when something changes by time alone.
     pub(super) fn next(&self, now: Time) -> Option<Time> {
-        let closing = self.leaving.map(|since| since + LAST_WORK).filter(|close| now < *close);
         let waiting = self.waiting.as_ref().map(|waiting| waiting.until);
         let effect = match &self.way {
             Way::Reported(holds) => holds.next_effect(now),
             Way::Called(orders) => Some(orders.next()),
         };
-        [effect, closing, waiting].into_iter().flatten().min()
+        [effect, self.closing(now), waiting].into_iter().flatten().min()
+    }
+
+    /// Returns when a leaving upstream is to get no more requests, if that is to come.
+    fn closing(&self, now: Time) -> Option<Time> {
+        self.leaving.map(|since| since + LAST_WORK).filter(|close| now < *close)
     }
 
     /// Returns true once something has changed by time alone since it was last looked at.
@@ -89,7 +93,7 @@
         let next = match &self.way {
             Way::Called(orders) if orders.lapsed(now) => return true,
             // What an order brings is told when its answer comes.
-            Way::Called(_) => self.leaving.map(|since| since + LAST_WORK).filter(|at| now < *at),
+            Way::Called(_) => self.closing(now),
             Way::Reported(_) => self.next(now),
         };
         let stale = self.reports && next != self.awaited;
@@ -142,22 +146,24 @@
         let Some(until) = self.holding.waiting.as_ref().map(|waiting| waiting.until) else {
             return;
         };
-        let called = matches!(self.holding.way, Way::Called(_));
-        if now < until && !called && self.moving() {
+        if now < until && self.moving() {
             return;
         }
         let Some(Waiting { reply, room, .. }) = self.holding.waiting.take() else { return };
-        let called = matches!(self.holding.way, Way::Called(_));
-        let grants = if called { None } else { self.grants(now, room) };
-        let answer = HeartbeatReply { grants };
+        let answer = HeartbeatReply { grants: self.grants(now, room) };
         debug!(ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "report answered");
         // The sender may have gone away.
         let _ = reply.send(answer);
         self.dirty = true;
     }
 
-    /// Returns true while a move of units from or to this member is about to be settled.
+    /// Returns true while a move of units from or to this member is about to show in a reply.
+    ///
+    /// Replies to an upstream that is told by calls say nothing of its units.
     fn moving(&self) -> bool {
+        if matches!(self.holding.way, Way::Called(_)) {
+            return false;
+        }
         let Some(identity) = &self.identity else { return false };
         let me = Some(identity.me);
         let Some(Attachment { workspace, .. }) = self.attachment() else { return false };
@@ -196,8 +202,11 @@
         self.attachment().is_some_and(|attachment| attachment.instance != *instance)
     }
 
-    /// Returns what the upstream is to hold, `None` when nothing can be granted.
+    /// Returns what the upstream is to hold by the reply, `None` when the reply can grant nothing.
     fn grants(&mut self, now: Time, room: usize) -> Option<(Vec<Granted>, Duration)> {
+        if matches!(self.holding.way, Way::Called(_)) {
+            return None;
+        }
         let attachment = self.attachment()?;
         if !self.is_attached_upstream(attachment) {
             return None;
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -348,7 +348,7 @@
         }
         self.dirty = false;
         let mut permits = self.permits(now);
-        self.want(now, &permits);
+        self.want(&permits);
         self.hold_back(now, &mut permits);
         let permits = Arc::new(permits);
         self.take_up_roles(now, &permits);
--- a/acaciaringd/src/control/ordering.rs
+++ b/acaciaringd/src/control/ordering.rs
@@ -1,5 +1,6 @@
 //! Orders to an upstream that is told by calls what to hold.
 
+use std::cell::LazyCell;
 use std::sync::Arc;
 
 use acaciaring_core::holds::Wanted;
@@ -14,17 +15,17 @@
 
 impl Control {
     /// Takes over which units the upstream is to hold, by the rights of this member.
-    pub(super) fn want(&mut self, now: Time, permits: &Permits) {
+    pub(super) fn want(&mut self, permits: &Permits) {
         if !matches!(self.holding.way, Way::Called(_)) {
             return;
         }
-        let wanted = self.wanted_by(now, permits);
+        let wanted = self.wanted_by(permits);
         if let Way::Called(orders) = &mut self.holding.way {
             orders.want(&wanted);
         }
     }
 
-    fn wanted_by(&self, now: Time, permits: &Permits) -> Vec<Wanted> {
+    fn wanted_by(&self, permits: &Permits) -> Vec<Wanted> {
         let attachment =
             self.attachment().filter(|attachment| self.is_attached_upstream(attachment));
         let Some(attachment) = attachment else { return Vec::new() };
@@ -38,8 +39,7 @@
             let Permit::Serve { token, .. } = *permit else { continue };
             let keys = service.numbers(*unit);
             let place = (Arc::clone(workspace), *unit);
-            let known = self.holding.way.serves(now, *unit, token, || keys.clone());
-            let handover = self.roles.handovers.get(&place).filter(|_| !known);
+            let handover = self.roles.handovers.get(&place);
             let handover = handover.map_or_else(|| Name::from(""), Arc::clone);
             wanted.push(Wanted { unit: *unit, token, keys, handover });
         }
@@ -54,7 +54,8 @@
         let lease = self.parts.shared.lease.get();
         let (Some(link), Way::Called(orders)) = (&self.link, &mut self.holding.way) else { return };
         let inflight = &self.parts.shared.inflight;
-        let idle = |first, last| inflight.is_idle(&link.workspace, first, last);
+        let busy = LazyCell::new(|| inflight.keys(&link.workspace));
+        let idle = |first, last| busy.range(u64::from(first)..=u64::from(last)).next().is_none();
         let issued = orders.decide(now, lease, idle);
         for Issued { number, order, reach, connects } in issued {
             let call = OrderCall {
--- a/acaciaringd/src/inflight.rs
+++ b/acaciaringd/src/inflight.rs
@@ -1,6 +1,6 @@
 //! Count of requests in flight, so that the release of a unit can wait for them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use acaciaring_core::{KeyHash, Name, Slot, UnitId};
@@ -51,12 +51,11 @@
         keys.filter(|(key, _)| unit_of(**key) == unit).map(|(_, count)| count).sum()
     }
 
-    /// Returns true when no request is in flight for a range of keys that are numbers.
-    pub(crate) fn is_idle(&self, workspace: &str, first: u32, last: u32) -> bool {
-        let range = u64::from(first)..=u64::from(last);
+    /// Returns the keys of a workspace for which requests are in flight, as numbers in order.
+    pub(crate) fn keys(&self, workspace: &str) -> BTreeSet<u64> {
         let counts = self.counts.lock();
-        let mut places = counts.iter().filter(|((place, _), _)| **place == *workspace);
-        !places.any(|(_, keys)| keys.keys().any(|key| range.contains(&key.0)))
+        let places = counts.iter().filter(|((place, _), _)| **place == *workspace);
+        places.flat_map(|(_, keys)| keys.keys()).map(|key| key.0).collect()
     }
 
     /// Returns how many requests are in flight in all.
