--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::time::{self, Instant};
 use tracing::{debug, error};
 
+use acaciaring_core::route::Repeat;
 use acaciaring_schema::peer::{Answer, Call, Fetch, FetchReply, Reply, Request, call, reply};
 
 use crate::clock;
@@ -45,6 +46,7 @@
 ) -> RequestOutcome {
     let deadline = Instant::now() + left;
     let attempt = request.attempt;
+    let repeat = if request.once { Repeat::Once } else { Repeat::Idempotent };
     request.left = exchange::millis(left);
     let clock = clock::now().since_start().as_micros();
     request.clock = u64::try_from(clock).unwrap_or(0);
@@ -58,7 +60,7 @@
     };
     drop(call);
     let patience = exchange::patience(shared, &frame);
-    let sent = match exchange::send(shared, to, frame, deadline).await {
+    let sent = match exchange::send(shared, to, frame, repeat, deadline).await {
         Ok(sent) => sent,
         Err(error) => {
             debug!(%to, attempt, %error, "request not delivered");
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -12,6 +12,7 @@
 use tokio::time::{self, Instant};
 use tracing::debug;
 
+use acaciaring_core::route::Repeat;
 use acaciaring_schema::peer::{Call, Cancel, Probe, ProbeReply, Reply, call, reply};
 
 use crate::peer::error::{
@@ -77,7 +78,7 @@
     let deadline = Instant::now() + left;
     let frame = frame::encode(&Call { body: Some(body) }, shared.settings.limit)
         .or_else(|size| TooLargeSnafu { peer: to, size }.fail())?;
-    let mut sent = send(shared, to, frame, deadline).await?;
+    let mut sent = send(shared, to, frame, Repeat::Once, deadline).await?;
     let reply = watched(shared, &sent.link, PATIENCE, sent.reader.next::<Reply>());
     match time::timeout_at(deadline, reply).await {
         Ok(Some(Ok(Reply { body: Some(body) }))) => return Ok(body),
@@ -90,16 +91,22 @@
     LostSnafu { peer: to }.fail()
 }
 
-/// Time since the peer was last heard within which a message is sent without a test.
+/// Returns the time since the peer was last heard within which a message is sent without a test.
 ///
 /// Guards against a member that has ended while the connection to it stays open here: a
 /// message that was written has perhaps arrived, so each request that meets such a connection
-/// would end as one that may have run. A test beforehand tells that nothing was sent.
-const FRESH: Duration = Duration::from_millis(300);
+/// would end as one that may have run. A test beforehand tells that nothing was sent. It costs
+/// as much as a request, so one that may run again is tested only after a longer silence.
+const fn fresh(repeat: Repeat) -> Duration {
+    match repeat {
+        Repeat::Once => Duration::from_millis(300),
+        Repeat::Idempotent => Duration::from_secs(3),
+    }
+}
 
 /// Returns true when the other end of a connection is there, asked if it was not heard lately.
-async fn is_there(shared: &Shared, link: &Link) -> bool {
-    if link.heard.within(FRESH) {
+async fn is_there(shared: &Shared, link: &Link, repeat: Repeat) -> bool {
+    if link.heard.within(fresh(repeat)) {
         return true;
     }
     let there = answers(shared, &link.conn).await;
@@ -121,6 +128,7 @@
     shared: &Arc<Shared>,
     to: SocketAddr,
     frame: Bytes,
+    repeat: Repeat,
     deadline: Instant,
 ) -> Result<Sent, CallError> {
     let mut older = 0;
@@ -131,7 +139,7 @@
         };
         let link = link.context(UnreachableSnafu { peer: to })?;
         older = link.id;
-        if !is_there(shared, &link).await {
+        if !is_there(shared, &link, repeat).await {
             continue;
         }
         let limit = deadline.min(Instant::now() + patience(shared, &frame));
