--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -14,7 +14,7 @@
 use crate::peer;
 use crate::peer::frame::{self, Code, FrameError};
 use crate::peer::transport::Shared;
-use crate::peer::{RequestOutcome, Transport};
+use crate::peer::{PeerSettings, RequestOutcome, Transport};
 
 use self::support::{Authority, Node, PATIENCE, echo, request};
 
@@ -109,6 +109,30 @@
     assert_eq!(sender.runtime.block_on(opened(sender, to)), 3 + 2 + 1);
 }
 
+/// What a request costs is mostly its packets. Each end dropped the other's stream before it had
+/// seen its end, which asked the peer to stop sending: a packet more, and one that acknowledges it.
+#[test]
+fn streams_that_were_read_whole_are_not_stopped() {
+    let authority = Authority::new();
+    // On a second thread the packet may leave between the message and its end.
+    let node = || Node::echo(PeerSettings { threads: 1, ..authority.settings() });
+    let (server, client) = (node(), node());
+    let to = server.transport.local_addr();
+    let runtime = client.transport.runtime();
+    for _ in 0..20 {
+        let transport = client.transport.clone();
+        let task =
+            runtime.spawn(async move { transport.request(to, request("a"), PATIENCE).await });
+        let outcome = runtime.block_on(task).unwrap();
+        assert_eq!(outcome, RequestOutcome::Answer(echo(request("a"))));
+    }
+    for node in [&client, &server] {
+        for conn in shared(&node.transport).registry.connections() {
+            assert_eq!(conn.stats().frame_tx.stop_sending, 0);
+        }
+    }
+}
+
 /// The connection breaks off while a permit is being issued, at the entry's
 /// end or at the owner's. The office must get the permit over a new connection.
 #[test]
