See the end of a stream before it is dropped

A message was read without the end of its stream, which came with it. A stream that is dropped so tells the peer to stop sending: a frame from each end for each request and call, of which the one after an answer needs a packet that is acknowledged by another. The reader now takes notice of the end where it is there already, and waits for none. The greeting is read to its end, which its sender always states.

--- a/acaciaringd/src/peer/frame.rs
+++ b/acaciaringd/src/peer/frame.rs
@@ -1,5 +1,7 @@
 //! Messages on a stream, each behind its length in four bytes.
 
+use std::future::ready;
+
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::{DecodeError, Message};
 use quinn::{ReadError, RecvStream, VarInt};
@@ -93,6 +95,7 @@
     pub async fn next<M: Message + Default>(&mut self) -> Result<M, FrameError> {
         loop {
             if let Some(frame) = self.split()? {
+                self.see_end().await;
                 return M::decode(frame).context(MalformedSnafu);
             }
             let chunk = self.recv.read_chunk(PREFIX + self.limit, true).await;
@@ -101,6 +104,22 @@
         }
     }
 
+    /// Takes notice of the end of the stream, if it came with the last message.
+    ///
+    /// A stream that is dropped before its end was read asks the peer to stop sending, which costs
+    /// both ends a packet.
+    async fn see_end(&mut self) {
+        if !self.buffer.is_empty() {
+            return;
+        }
+        let read = self.recv.read_chunk(PREFIX + self.limit, true);
+        tokio::select! {
+            biased;
+            Ok(Some(chunk)) = read => self.buffer.extend_from_slice(&chunk.bytes),
+            () = ready(()) => {}
+        }
+    }
+
     /// Tells the peer to stop sending.
     pub fn stop(&mut self, code: Code) {
         // Fails only when the stream is already over.
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -122,8 +122,8 @@
     send.write_all(&greeting).await.map_err(|_| broken(conn))?;
     send.finish().map_err(|_| ConnectError::Greeting)?;
     let mut recv = conn.accept_uni().await.context(BrokenSnafu)?;
-    let mut greeting = [0; GREETING];
-    recv.read_exact(&mut greeting).await.map_err(|_| broken(conn))?;
+    let greeting = recv.read_to_end(GREETING).await.map_err(|_| broken(conn))?;
+    let greeting = greeting.try_into().map_err(|_| ConnectError::Greeting)?;
     Ok(u64::from_be_bytes(greeting))
 }
 
