Let all stages of a stop share one bound, and take callers for half of it only

What callers saw: a request that was sent seconds after the signal was passed on to a server and ended without an answer when the platform killed the process.

Cause: the end of control and the wait for callers each had a bound of its own, 4.8 s and 5 s of a grace of 6 s, one after the other, and the listener took callers up to the end of the first.

Callers are shut out once control has nothing left to hand over, at half of the bound at the latest: by then they have been told twice that this process is not ready, and the rest of the time is for what they sent. The listeners for the upstream and for operators stay open, for the hand-over still needs them.

Ruled out: requests that run here for others, which control waits for.

--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -5,7 +5,7 @@
 
 use acaciaring_core::orders::Answer;
 use acaciaring_core::state::{Outcome, RecordId};
-use acaciaring_core::{Name, Offset, UnitId};
+use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Batch, Publish, Vote};
 use acaciaring_schema::peer::{Datagram, Release};
 use crossbeam_channel::Sender;
@@ -48,8 +48,8 @@
     Version(SocketAddr, u64),
     /// A newer configuration is declared.
     Declared(Arc<Declared>),
-    /// The process was told to stop.
-    Stop,
+    /// The process was told to stop, and when.
+    Stop(Time),
 }
 
 /// What became of a published document.
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -92,7 +92,10 @@
 pub(crate) struct Parts {
     pub(crate) place: Place,
     pub(crate) lease: LeaseSettings,
+    /// Bound on a stop.
     pub(crate) drain: Duration,
+    /// Where a stop is told that nothing is left to hand over.
+    pub(crate) releasing: Sender<()>,
     /// Time between two decisions of balance.
     pub(crate) interval: Duration,
     pub(crate) balance: BalanceSettings,
@@ -223,6 +226,8 @@
             let now = clock::now();
             self.round(now);
             if self.finished(now) {
+                // The stop may have gone on by itself.
+                let _ = self.parts.releasing.try_send(());
                 return;
             }
         }
@@ -269,7 +274,7 @@
                 self.declared = Some(declared);
                 self.dirty = true;
             }
-            Event::Stop => self.stop(now),
+            Event::Stop(since) => self.stop(now, since),
         }
     }
 
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -30,10 +30,10 @@
 const LOG: Duration = Duration::from_secs(2);
 
 impl Control {
-    /// Begins a graceful shutdown.
-    pub(super) fn stop(&mut self, now: Time) {
+    /// Begins a graceful shutdown that was asked for at `since`.
+    pub(super) fn stop(&mut self, now: Time, since: Time) {
         info!("graceful shutdown begins");
-        self.stopping.get_or_insert(now);
+        self.stopping.get_or_insert(since);
         self.parts.shared.stopping.store(true, Ordering::Release);
         self.pausing = self.resumable();
         self.report_leaving();
--- a/acaciaringd/src/daemon/edges.rs
+++ b/acaciaringd/src/daemon/edges.rs
@@ -59,7 +59,9 @@
     fn admin(&self) -> SocketAddr;
 
     /// Stops to accept and waits for the requests in hand, at most `bound`; returns how many are cut off.
-    fn drain(self: Box<Self>, bound: Duration) -> usize;
+    ///
+    /// The upstream and operators are served further on.
+    fn drain(&self, bound: Duration) -> usize;
 }
 
 /// Way of callers' requests through this process.
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -14,7 +14,7 @@
 
 use acaciaring_core::choice::{Choice, ChoiceSettings};
 use acaciaring_schema::settings::Settings;
-use crossbeam_channel::{Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use parking_lot::Mutex;
 use snafu::{ResultExt, Snafu};
 use tracing::info;
@@ -24,6 +24,7 @@
 use self::own::OwnEdges;
 use crate::admin::MemberAdmin;
 use crate::appender::Appender;
+use crate::clock;
 use crate::control::{Control, Event, Parts};
 use crate::declared::Declarations;
 use crate::gate::Gate;
@@ -51,8 +52,8 @@
 /// Lines a second about requests that were answered late, which cost their callers less.
 const LATE_LINES: u32 = 10;
 
-/// Longest wait for callers' requests after the hand-over.
-const ENTRY_DRAIN: Duration = Duration::from_secs(5);
+/// Part of the time of a stop in which callers are still taken; the rest is for their requests.
+const TAKING: u32 = 2;
 
 /// Failure to start the daemon.
 #[derive(Debug, Snafu)]
@@ -87,6 +88,10 @@
 pub struct Daemon {
     events: Sender<Event>,
     control: JoinHandle<()>,
+    /// Tells that control has nothing left to hand over.
+    released: Receiver<()>,
+    /// Bound on a stop.
+    drain: Duration,
     doors: Box<dyn Doors>,
     transport: Transport,
     /// Page of the metrics; ends with the daemon.
@@ -127,11 +132,7 @@
         let transport =
             Transport::metered(options::peer_settings(settings), late.clone(), metrics.clone())
                 .context(PeerSnafu)?;
-        let page = address.map(|address| {
-            let site = Arc::new(MetricsSite(metrics.clone()));
-            web::Server::start(transport.runtime(), address, site)
-        });
-        let page = page.transpose().context(PageSnafu)?;
+        let page = address.map(|address| page(address, &metrics, &transport)).transpose()?;
         let log = edges.log(transport.runtime());
         let outbox = Outbox::new(&transport);
         let outlet = edges.outlet();
@@ -187,6 +188,7 @@
         let doors = edges.open(inside).context(EdgeSnafu)?;
 
         let wanted = Arc::new(AtomicU64::new(1));
+        let (releasing, released) = bounded(1);
         let parts = Parts {
             place: options::place(
                 settings,
@@ -195,6 +197,7 @@
             ),
             lease: options::lease_settings(&settings.lease, settings.upstream.grants),
             drain: settings.limits.drain,
+            releasing,
             interval: settings.balance.interval,
             balance: options::balance_settings(settings),
             records: u64::from(settings.snapshot.records),
@@ -217,7 +220,8 @@
         reader::start(log, wait, relay::read_relay(&shared, &transport), wanted, events.clone());
         let control = Control::start(parts, inbox);
         info!(http = %doors.callers(), peer = %transport.local_addr(), admin = %doors.admin(), "started");
-        Ok(Self { events, control, doors, transport, _page: page })
+        let drain = settings.limits.drain;
+        Ok(Self { events, control, released, drain, doors, transport, _page: page })
     }
 
     /// Returns the address for callers.
@@ -240,13 +244,28 @@
 
     /// Hands everything over, finishes what is in flight and ends; returns how many requests were cut off.
     #[must_use]
+    ///
+    /// All of it shares one bound, counted from here.
     pub fn stop(self) -> usize {
+        let start = clock::now();
         // Control ends by itself only after a stop.
-        let _ = self.events.send(Event::Stop);
+        let _ = self.events.send(Event::Stop(start));
+        // Without the word of control callers are taken no longer either.
+        let _ = self.released.recv_timeout(self.drain / TAKING);
+        let cut = self.doors.drain(self.drain.saturating_sub(clock::now().since(start)));
         let _ = self.control.join();
-        let cut = self.doors.drain(ENTRY_DRAIN);
         self.transport.stop();
         info!(cut, "stopped");
         cut
     }
 }
+
+/// Serves the page of the metrics.
+fn page(
+    address: SocketAddr,
+    metrics: &Metrics,
+    transport: &Transport,
+) -> Result<web::Server, StartError> {
+    let site = Arc::new(MetricsSite(metrics.clone()));
+    web::Server::start(transport.runtime(), address, site).context(PageSnafu)
+}
--- a/acaciaringd/src/daemon/own.rs
+++ b/acaciaringd/src/daemon/own.rs
@@ -65,7 +65,7 @@
         self.admin.local_addr()
     }
 
-    fn drain(self: Box<Self>, bound: Duration) -> usize {
+    fn drain(&self, bound: Duration) -> usize {
         self.entry.drain(bound)
     }
 }
--- a/acaciaringd/src/entry/mod.rs
+++ b/acaciaringd/src/entry/mod.rs
@@ -148,7 +148,7 @@
     /// Connections that are not accepted yet are reset, and requests on them not read.
     /// Returns how many requests were cut off.
     #[must_use]
-    pub fn drain(self, bound: Duration) -> usize {
+    pub fn drain(&self, bound: Duration) -> usize {
         self.listener.close();
         let left = self.pool.drain(bound);
         self.listener.stop();
