Show that a silent member's answer is given up while its server works

An entry that hears nothing of a member for four silent intervals asks on three new connections and ends the request as one that may have run, though the member is only without processor and its server ends with a whole answer later.

--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use acaciaring_schema::peer::Datagram;
 use acaciaringd::peer::{self, RequestOutcome};
@@ -12,6 +12,9 @@
 
 use crate::peer_support::{Authority, Forwarder, Node, PATIENCE, Passage, echo, request, wait_for};
 
+/// Time for which nothing passes, well above that after which a sender has asked on several new connections.
+const CUT: Duration = Duration::from_secs(2);
+
 /// Two members with a forwarder between them and a connection that has worked.
 struct Stage {
     client: Node,
@@ -205,3 +208,60 @@
     assert_eq!(stage.request("b"), RequestOutcome::NotDelivered);
     assert_eq!(stage.server.runs(), 1);
 }
+
+/// An archive read has begun at its server when the machine there runs out of processor, and nothing is heard
+/// of it for two seconds. The entry gave the read up after one, with status 502 and `lost-answer`; 1.7 s later
+/// the server ended with a whole answer that nobody took. The reader must get that answer.
+#[test]
+fn answer_is_taken_from_a_member_that_was_silent_for_seconds() {
+    let stage = Stage::new();
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| stage.request("slow"));
+        stage.started.recv_timeout(PATIENCE).unwrap();
+        thread::sleep(Duration::from_millis(100));
+        stage.forwarder.set_cut(true);
+        thread::sleep(CUT);
+        stage.forwarder.set_cut(false);
+        stage.go.send(()).unwrap();
+        assert_eq!(waiting.join().unwrap(), answer("slow"));
+    });
+    assert_eq!(stage.server.runs(), 2);
+}
+
+/// The same member had not even read the request. Its sender must not say that it may have run, for nothing
+/// of it got there: either it is known as not run, or it runs once and is answered.
+#[test]
+fn request_to_a_member_that_was_silent_for_seconds_gets_a_sure_verdict() {
+    let stage = Stage::new();
+    thread::scope(|scope| {
+        stage.forwarder.set_cut(true);
+        let waiting = scope.spawn(|| stage.request("a"));
+        thread::sleep(CUT);
+        stage.forwarder.set_cut(false);
+        let runs = match waiting.join().unwrap() {
+            RequestOutcome::NotDelivered => 1,
+            outcome => {
+                assert_eq!(outcome, answer("a"));
+                2
+            }
+        };
+        assert_eq!(stage.request("b"), answer("b"));
+        assert_eq!(stage.server.runs(), runs + 1);
+    });
+}
+
+/// A member stops for good while a request runs there. Its farewell is proof, so the caller must hear that
+/// the request may have run, not wait for its deadline.
+#[test]
+fn request_at_a_member_that_has_said_farewell_is_lost_at_once() {
+    let stage = Stage::new();
+    let start = Instant::now();
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| stage.request("slow"));
+        stage.started.recv_timeout(PATIENCE).unwrap();
+        stage.server.transport.stop();
+        assert_eq!(waiting.join().unwrap(), RequestOutcome::Lost);
+        stage.go.send(()).unwrap();
+    });
+    assert!(start.elapsed() < PATIENCE / 2, "{:?}", start.elapsed());
+}
--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -160,6 +160,8 @@
 struct State {
     target: SocketAddr,
     flows: HashMap<SocketAddr, Flow>,
+    /// Nothing passes in either direction, on new flows neither.
+    cut: bool,
 }
 
 /// Forwards UDP packets; tells flows apart by their source address.
@@ -173,7 +175,7 @@
     pub fn start(target: SocketAddr) -> Self {
         let socket = bind();
         let address = socket.local_addr().unwrap();
-        let state = Arc::new(Mutex::new(State { target, flows: HashMap::new() }));
+        let state = Arc::new(Mutex::new(State { target, flows: HashMap::new(), cut: false }));
         let stopped = Arc::new(AtomicBool::new(false));
         let (flows, stop) = (state.clone(), stopped.clone());
         thread::spawn(move || forward_there(&socket, &flows, &stop));
@@ -187,6 +189,11 @@
         }
     }
 
+    /// Lets nothing pass on any flow, or all that the flows let pass.
+    pub fn set_cut(&self, cut: bool) {
+        self.state.lock().cut = cut;
+    }
+
     /// Lets held packets go.
     pub fn release(&self) {
         for flow in self.state.lock().flows.values_mut() {
@@ -225,6 +232,9 @@
             continue;
         };
         let mut locked = state.lock();
+        if locked.cut {
+            continue;
+        }
         let target = locked.target;
         let flow = locked.flows.entry(from).or_insert_with(|| {
             let flow = bind();
@@ -254,7 +264,8 @@
         let Ok(size) = flow.recv(&mut packet) else {
             continue;
         };
-        if state.lock().flows[&to].back == Passage::Open {
+        let passes = |state: &State| !state.cut && state.flows[&to].back == Passage::Open;
+        if passes(&state.lock()) {
             let _ = socket.send_to(&packet[..size], to);
         }
     }
