Wait for a silent member instead of giving its answer up

Callers got 502 a second after their request had reached its server, with seconds of their time left; the server went on and ended with a whole answer, or was told to break off. It was seen around stops, but had nothing to do with them: of 145 such lines in seven seconds 101 had time left, at 51 members, and nobody who stopped had cut anything off.

Cause: a sender that hears nothing for four silent intervals asked on three new connections of short time-outs and then ended the attempt as lost. A member without processor looks just so. If the request had not even arrived, the caller was told "may have run".

Ruled out: the stop itself (it cuts nothing off, and such ends come without one), and lost leases or identities (other reasons in the log).

Now silence ends nothing. An attempt ends with an answer, with "not arrived", with proof (another process, a farewell, an attempt known without answer) or with its deadline. The sender goes on after growing pauses, and first on the old connection: what the member says there once it goes on costs no handshake. The entry is told of the silence and decides: what may be repeated goes elsewhere too, within the same budget as before, and the first answer counts; anything else waits, until the log says that the member is dead. "Not run" of two tries is said only if both are known not to have run. A late "not arrived" is believed only for half of the time for which the receiver remembers, since an ask may now come long after the attempt has ended and been forgotten there.

--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -87,6 +87,8 @@
         PeerProbes = "peer.probes", "probes";
         /// Probes after which the request was known as not run.
         PeerProbesNotRun = "peer.probes_not_run", "probes";
+        /// Requests at members that had gone silent, which went on.
+        PeerSilent = "peer.silent", "requests";
         /// Requests held up on their way whose senders still waited.
         PeerHeldUp = "peer.held_up", "requests";
         /// Requests held up on their way that were refused, for their senders did not answer in time.
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -1,30 +1,26 @@
 //! Sending side of a request: survives a connection that has gone silent.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::{self, Instant};
 use tracing::{debug, error};
 
 use acaciaring_core::route::Repeat;
-use acaciaring_schema::peer::{Answer, Call, Fetch, FetchReply, Reply, Request, call, reply};
+use acaciaring_schema::peer::{Answer, Call, Reply, Request, call, reply};
 
 use crate::clock;
-use crate::metrics::Counter;
-use crate::peer::exchange::{self, Sent, abandon, ask, cancel, probe, watched};
+use crate::peer::exchange::{self, Sent, abandon, cancel, probe, watched};
 use crate::peer::frame::{self, FrameError, FrameReader};
-use crate::peer::link::Link;
+use crate::peer::search::{Search, Subject};
 use crate::peer::transport::Shared;
 
-/// New connections on which a sender asks for an attempt before it counts as lost.
-///
-/// With half a second for each this is about the term of a lease: by then
-/// another member may take over.
-const ASKS: usize = 3;
-
 /// Silent intervals after which a connection with a running request is tested.
-const PATIENCE: u32 = 4;
+pub(super) const PATIENCE: u32 = 4;
 
 /// What became of a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,14 +33,59 @@
     Lost,
 }
 
-/// Sends a request and brings back its answer, over new connections if need be.
-pub(super) async fn request(
+/// Request that is under way at a member.
+///
+/// When it is dropped before its end, the member is told that the caller has gone away.
+pub struct Running {
+    outcome: Pin<Box<dyn Future<Output = RequestOutcome> + Send>>,
+    silence: Arc<Notify>,
+}
+
+impl Running {
+    /// Sends a request, and brings back its answer over new connections if need be.
+    pub(super) fn start(
+        shared: Arc<Shared>,
+        to: SocketAddr,
+        message: Request,
+        left: Duration,
+    ) -> Self {
+        let silence = Arc::new(Notify::new());
+        let told = Arc::clone(&silence);
+        let outcome = async move {
+            if shared.is_stopped() {
+                return RequestOutcome::NotDelivered;
+            }
+            request(&shared, to, message, left, &told).await
+        };
+        Self { outcome: Box::pin(outcome), silence }
+    }
+
+    /// Waits for the end; `None` once the member has gone silent.
+    ///
+    /// Silence is no proof: the member may be without processor and its answer come later.
+    pub async fn heard(&mut self) -> Option<RequestOutcome> {
+        tokio::select! {
+            biased;
+            outcome = &mut self.outcome => Some(outcome),
+            () = self.silence.notified() => None,
+        }
+    }
+
+    /// Waits for the end, however long the member is silent.
+    pub async fn end(self) -> RequestOutcome {
+        self.outcome.await
+    }
+}
+
+async fn request(
     shared: &Arc<Shared>,
     to: SocketAddr,
     mut request: Request,
     left: Duration,
+    silence: &Notify,
 ) -> RequestOutcome {
-    let deadline = Instant::now() + left;
+    let start = Instant::now();
+    let deadline = start + left;
     let attempt = request.attempt;
     let repeat = if request.once { Repeat::Once } else { Repeat::Idempotent };
     request.left = exchange::millis(left);
@@ -67,7 +108,8 @@
             return RequestOutcome::NotDelivered;
         }
     };
-    let hop = Hop { shared, to, attempt, deadline, arrived: false, sent };
+    let subject = Subject { to, attempt, start, deadline };
+    let hop = Hop { shared, subject, silence, arrived: false, sent };
     let mut abandoned = Abandoned { shared, to, attempt, armed: true };
     let outcome = time::timeout_at(deadline, hop.run(patience)).await;
     abandoned.armed = outcome.is_err();
@@ -104,9 +146,8 @@
 /// One attempt that has been sent.
 struct Hop<'a> {
     shared: &'a Arc<Shared>,
-    to: SocketAddr,
-    attempt: u64,
-    deadline: Instant,
+    subject: Subject,
+    silence: &'a Notify,
     /// Whether the receiver has said that it has the attempt.
     arrived: bool,
     sent: Sent,
@@ -128,7 +169,7 @@
                 if self.sent.link.received() == before {
                     return self.recover().await;
                 }
-                match probe(self.shared, &self.sent.link.conn, self.attempt).await {
+                match probe(self.shared, &self.sent.link.conn, self.subject.attempt).await {
                     Some(true) => self.arrived = true,
                     Some(false) => return self.give_up(),
                     None => return self.recover().await,
@@ -163,9 +204,8 @@
         match error {
             error if error.refusal().is_some() => RequestOutcome::NotDelivered,
             FrameError::Broken { .. } | FrameError::Ended => {
-                let Self { shared, to, attempt, deadline, arrived, sent } = self;
-                let search = Search { shared, to, attempt, deadline, arrived, sent: &sent.link };
-                search.run().await
+                let Self { shared, subject, silence, arrived, sent } = self;
+                Search { shared, subject, silence, arrived, sent: &sent.link }.run().await
             }
             _ => RequestOutcome::Lost,
         }
@@ -173,9 +213,10 @@
 
     /// Looks for the attempt on new connections, still listening on the suspect one.
     async fn recover(self) -> RequestOutcome {
-        let Self { shared, to, attempt, deadline, arrived, mut sent } = self;
+        let Self { shared, subject, silence, arrived, mut sent } = self;
+        let Subject { to, attempt, .. } = subject;
         debug!(%to, attempt, arrived, link = sent.link.id, "connection is suspect");
-        let search = Search { shared, to, attempt, deadline, arrived, sent: &sent.link };
+        let search = Search { shared, subject, silence, arrived, sent: &sent.link };
         let outcome = tokio::select! {
             Ok(answer) = answer(&mut sent.reader) => RequestOutcome::Answer(answer),
             outcome = search.run() => outcome,
@@ -192,54 +233,3 @@
         RequestOutcome::NotDelivered
     }
 }
-
-/// Search for an attempt on connections newer than the one on which it was sent.
-struct Search<'a> {
-    shared: &'a Arc<Shared>,
-    to: SocketAddr,
-    attempt: u64,
-    deadline: Instant,
-    arrived: bool,
-    /// Connection on which the attempt was sent.
-    sent: &'a Link,
-}
-
-impl Search<'_> {
-    async fn run(mut self) -> RequestOutcome {
-        let mut older = self.sent.id;
-        for _ in 0..ASKS {
-            let Ok(link) = self.shared.pool.get(self.shared, self.to, older).await else {
-                continue;
-            };
-            older = link.id;
-            if let Some(outcome) = self.ask(&link).await {
-                return outcome;
-            }
-        }
-        RequestOutcome::Lost
-    }
-
-    /// Asks on one connection; `None` when it does not work.
-    async fn ask(&mut self, link: &Link) -> Option<RequestOutcome> {
-        if link.process != self.sent.process {
-            return Some(RequestOutcome::Lost);
-        }
-        if !self.arrived {
-            self.shared.metrics.count(Counter::PeerProbes, 1);
-            self.arrived = probe(self.shared, &link.conn, self.attempt).await?;
-            if !self.arrived {
-                self.shared.metrics.count(Counter::PeerProbesNotRun, 1);
-                return Some(RequestOutcome::NotDelivered);
-            }
-        }
-        let left = exchange::millis(self.deadline.saturating_duration_since(Instant::now()));
-        let fetch = call::Body::Fetch(Fetch { attempt: self.attempt, left });
-        let fetched = ask(self.shared, &link.conn, fetch);
-        match watched(self.shared, link, PATIENCE, fetched).await?? {
-            reply::Body::Fetch(FetchReply { answer: Some(answer) }) => {
-                Some(RequestOutcome::Answer(answer))
-            }
-            _ => Some(RequestOutcome::Lost),
-        }
-    }
-}
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use quinn::{Connection, Endpoint, SendStream};
+use quinn::{Connection, ConnectionError, Endpoint, SendStream};
 use snafu::ResultExt;
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
@@ -77,6 +77,14 @@
         self.conn.close_reason().is_none()
     }
 
+    /// Returns whether the peer has said that its process stops, which ends what ran there.
+    pub fn has_stopped(&self) -> bool {
+        matches!(
+            self.conn.close_reason(),
+            Some(ConnectionError::ApplicationClosed(close)) if close.error_code == Code::Stopping.into()
+        )
+    }
+
     /// Returns the count of packets received.
     pub fn received(&self) -> u64 {
         self.conn.stats().udp_rx.datagrams
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -15,6 +15,7 @@
 mod link;
 mod pool;
 mod run;
+mod search;
 mod serve;
 mod settings;
 mod table;
@@ -26,7 +27,7 @@
 mod transport;
 mod trust;
 
-pub use self::attempt::RequestOutcome;
+pub use self::attempt::{RequestOutcome, Running};
 pub use self::cancel::CancelFlag;
 pub use self::error::{CallError, ConnectError, PeerError};
 pub use self::settings::PeerSettings;
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -17,7 +17,7 @@
 use prost::Message;
 
 use crate::metrics::Metrics;
-use crate::peer::attempt::{self, RequestOutcome};
+use crate::peer::attempt::{RequestOutcome, Running};
 use crate::peer::cancel::CancelFlag;
 use crate::peer::error::{BindSnafu, CallError, ConnectError, PeerError, ThreadsSnafu};
 use crate::peer::exchange;
@@ -213,10 +213,16 @@
         self.runtime().block_on(self.call(to, call, timeout))
     }
 
-    /// Sends a request and waits for its answer, at most `left`.
+    /// Sends a request, whose outcome is known after `left` at the latest.
     ///
     /// The sender draws `request.attempt` at random for each try and never
     /// uses it again; zero is reserved. `request.left` is set here.
+    #[must_use]
+    pub fn start_request(&self, to: SocketAddr, request: Request, left: Duration) -> Running {
+        Running::start(Arc::clone(&self.inner.shared), to, request, left)
+    }
+
+    /// Does the same as [`Transport::start_request`] and waits for the outcome.
     ///
     /// When the future is dropped before it is ready, the member is told that the caller has
     /// gone away.
@@ -226,11 +232,7 @@
         request: Request,
         left: Duration,
     ) -> RequestOutcome {
-        let shared = &self.inner.shared;
-        if shared.is_stopped() {
-            return RequestOutcome::NotDelivered;
-        }
-        attempt::request(shared, to, request, left).await
+        self.start_request(to, request, left).end().await
     }
 
     /// Does the same as [`Transport::request`] for a thread that may block.
--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -9,9 +9,11 @@
 use acaciaring_schema::peer::Answer;
 use tokio::time::sleep;
 
-use super::{COME_BACK, Plan, Router, Try};
+use super::outcome::LOST;
+use super::{COME_BACK, Plan, Router, Silence, Try};
 use crate::clock;
 use crate::metrics::{Counter, Timer};
+use crate::peer::Pending;
 use crate::view::View;
 
 /// Search for a member that may serve the key that every request may take.
@@ -45,11 +47,20 @@
     repeats: u32,
 }
 
+/// What a search has come to after a try.
+enum Step {
+    Answered(Answer),
+    /// No member served the request; the search goes on.
+    Missed,
+    /// The member has gone silent; the request may be given elsewhere meanwhile, after this pause.
+    Silent(Silence, Duration),
+}
+
 impl Router {
     /// Brings a request to the owner of its key.
     pub(super) async fn keyed(&self, plan: &Plan) -> Result<Answer, Refusal> {
         let now = clock::now();
-        let mut search = Search {
+        let search = Search {
             soon: plan.deadline.min(now + PATIENCE),
             end: plan.deadline.min(now + self.patience()),
             tries: 0,
@@ -58,10 +69,21 @@
             lost: false,
             repeats: 0,
         };
+        self.seek(plan, search).await
+    }
+
+    /// Searches for a member that serves the key.
+    async fn seek(&self, plan: &Plan, mut search: Search) -> Result<Answer, Refusal> {
         let mut place = None;
         loop {
-            if let Some(answer) = self.search(plan, &mut search).await? {
-                return Ok(answer);
+            match self.search(plan, &mut search).await? {
+                Step::Answered(answer) => return Ok(answer),
+                Step::Missed => {}
+                Step::Silent(silence, after) => {
+                    let answer = self.beside(silence, self.seek_on(plan, after, search)).await?;
+                    self.end_outage(&self.shared.view(), plan);
+                    return Ok(answer);
+                }
             }
             self.note_outage(plan, &search);
             let now = clock::now();
@@ -78,6 +100,20 @@
         }
     }
 
+    /// Goes on with a search after a pause.
+    fn seek_on<'a>(
+        &'a self,
+        plan: &'a Plan,
+        after: Duration,
+        mut search: Search,
+    ) -> Pending<'a, Result<Answer, Refusal>> {
+        Box::pin(async move {
+            sleep(after).await;
+            search.prolong(plan);
+            self.seek(plan, search).await
+        })
+    }
+
     /// Returns for how long a few requests at a time may search.
     ///
     /// A caller that is told at once when to come back is served as soon as one that waits, and
@@ -87,20 +123,32 @@
     }
 
     /// Makes one try, if there is a member to try; an error is the final answer.
-    async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Option<Answer>, Refusal> {
+    async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Step, Refusal> {
         let view = self.shared.view();
-        let Some(target) = self.target(&view, plan, search) else { return Ok(None) };
+        let Some(target) = self.target(&view, plan, search) else { return Ok(Step::Missed) };
         if let Some(refusal) = self.refuse_full(clock::now(), plan, target) {
             return Err(search.settle(refusal));
         }
         self.count_try(search);
         search.tries += 1;
         search.hint = None;
-        match self.attempt(plan, &view, target).await {
+        let ended = match self.attempt(plan, &view, target).await {
+            Ok(ended) => ended,
+            Err(silence) => {
+                self.suspects.add(clock::now(), target);
+                if let Some(after) = self.leave(plan, search, LOST) {
+                    return Ok(Step::Silent(silence, after));
+                }
+                let ended = self.wait(silence).await;
+                search.prolong(plan);
+                ended
+            }
+        };
+        match ended {
             Try::Whole(answer) => {
                 self.suspects.clear(target);
                 self.end_outage(&view, plan);
-                return Ok(Some(answer));
+                return Ok(Step::Answered(answer));
             }
             Try::Refused { refusal, owner, .. } => {
                 self.suspects.clear(target);
@@ -122,12 +170,11 @@
             Try::Undelivered => self.suspects.add(clock::now(), target),
             Try::Lost => {
                 self.suspects.add(clock::now(), target);
-                let lost = Refusal::unknown(Reason::LostAnswer);
-                search.lose(lost);
-                self.repeat(plan, search, lost).await?;
+                search.lose(LOST);
+                self.repeat(plan, search, LOST).await?;
             }
         }
-        Ok(None)
+        Ok(Step::Missed)
     }
 
     fn count_try(&self, search: &Search) {
@@ -158,6 +205,21 @@
     }
 
     /// Waits for leave to give the upstream a request again; an error is the final answer.
+    async fn repeat(
+        &self,
+        plan: &Plan,
+        search: &mut Search,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
+        let after = self.leave(plan, search, refusal).ok_or_else(|| search.give_up())?;
+        if after > Duration::ZERO {
+            sleep(after).await;
+            search.prolong(plan);
+        }
+        Ok(())
+    }
+
+    /// Returns after which pause the upstream may be given a request again; `None` when it may not.
     ///
     /// Guards against an upstream that answers nothing while it works: each request would run
     /// there as often as fits into the search. A request that may run once needs no leave, for
@@ -165,36 +227,25 @@
     ///
     /// An upstream that refuses requests while it has places by its own word takes the next one
     /// as likely as not, and no other may serve the key.
-    async fn repeat(
-        &self,
-        plan: &Plan,
-        search: &mut Search,
-        refusal: Refusal,
-    ) -> Result<(), Refusal> {
+    fn leave(&self, plan: &Plan, search: &mut Search, refusal: Refusal) -> Option<Duration> {
         if plan.class.repeat == Repeat::Once && refusal.verdict == Verdict::Unknown {
             // Nobody remembers a request whose identity is used once: a second try could run it again.
-            return if plan.class.single { Err(search.give_up()) } else { Ok(()) };
+            return (!plan.class.single).then_some(Duration::ZERO);
         }
-        search.repeats += 1;
         let now = clock::now();
         let failure = Failure {
             refusal,
             repeat: plan.class.repeat,
             left: plan.deadline.since(now),
-            tries: search.repeats,
+            tries: search.repeats + 1,
             redirects: 0,
             arrived: true,
             elsewhere: false,
             most: plan.class.tries,
         };
-        match self.allowed(now, plan, &failure) {
-            RetryDecision::Retry { after } => sleep(after).await,
-            RetryDecision::GiveUp => return Err(search.give_up()),
-        }
-        // The search may go on for as long as before the repeat.
-        search.soon = plan.deadline.min(clock::now() + PATIENCE);
-        search.end = search.end.max(search.soon);
-        Ok(())
+        let RetryDecision::Retry { after } = self.allowed(now, plan, &failure) else { return None };
+        search.repeats += 1;
+        Some(after)
     }
 
     /// Chooses where the next try goes: a hint, the owner, or the standby while the owner cannot be reached.
@@ -216,6 +267,12 @@
 }
 
 impl Search {
+    /// Lets a search go on for as long as a new one, after it has waited.
+    fn prolong(&mut self, plan: &Plan) {
+        self.soon = plan.deadline.min(clock::now() + PATIENCE);
+        self.end = self.end.max(self.soon);
+    }
+
     /// Decides after a refusal; an error is the final answer.
     ///
     /// A request that may run once is safe to try again after a lost try: the
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -7,10 +7,10 @@
 mod outcome;
 mod pooled;
 mod shares;
+mod silence;
 mod spans;
 mod suspects;
 
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -31,6 +31,7 @@
 pub(crate) use self::outages::Outages;
 use self::outcome::{Load, Try, arrived, come_back, judge, whole};
 pub(crate) use self::shares::Shares;
+use self::silence::Silence;
 pub(crate) use self::spans::Spans;
 pub(crate) use self::suspects::Suspects;
 use crate::clock;
@@ -299,8 +300,8 @@
         }
     }
 
-    /// Makes one try at a member.
-    async fn attempt(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
+    /// Makes one try at a member; an error is one whose member has gone silent.
+    async fn attempt(&self, plan: &Plan, view: &View, target: MemberId) -> Result<Try, Silence> {
         let left = plan.deadline.since(clock::now());
         plan.tries.fetch_add(1, Ordering::Relaxed);
         plan.last.store(target.0, Ordering::Relaxed);
@@ -313,15 +314,14 @@
             aim: plan.aim.map_or(0, |aim| wire::millis(aim.since(clock::now()).max(MILLI))),
             ..plan.request.clone()
         };
-        let outcome = if view.me == Some(target) {
-            RequestOutcome::Answer(self.gate.run(&request, &CancelFlag::default()).await)
-        } else {
-            match view.peer(target) {
-                Some(address) => self.hop(address, request, left).await,
-                None => RequestOutcome::NotDelivered,
-            }
-        };
-        judge(outcome)
+        if view.me == Some(target) {
+            let answer = self.gate.run(&request, &CancelFlag::default()).await;
+            return Ok(judge(RequestOutcome::Answer(answer)));
+        }
+        match view.peer(target) {
+            Some(address) => self.hop(target, address, request, left).await,
+            None => Ok(Try::Undelivered),
+        }
     }
 }
 
@@ -366,17 +366,6 @@
         let retry = retry.mul_f64(rand::rng().random_range(RETURN));
         Refusal::not_run(Reason::Busy).after(retry)
     }
-
-    /// Makes a try at another member.
-    async fn hop(&self, address: SocketAddr, request: Request, left: Duration) -> RequestOutcome {
-        let start = clock::now();
-        let outcome = self.transport.request(address, request, left).await;
-        if let RequestOutcome::Answer(answer) = &outcome {
-            self.declarations.heard(address, answer.declared);
-        }
-        self.metrics.time(Timer::Peer, clock::now().since(start));
-        outcome
-    }
 }
 
 /// Refuses a request that has waited for so long before it was read that it would hardly be in time.
--- a/acaciaringd/src/router/outcome.rs
+++ b/acaciaringd/src/router/outcome.rs
@@ -8,6 +8,9 @@
 use crate::peer::RequestOutcome;
 use crate::wire;
 
+/// What a caller is told of a request that may have run.
+pub(super) const LOST: Refusal = Refusal::unknown(Reason::LostAnswer);
+
 /// What a member reports on its answers.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Load {
@@ -28,6 +31,18 @@
     Lost,
 }
 
+impl Try {
+    /// Returns the answer, or what the caller is told without a further try.
+    pub(super) fn result(self) -> Result<Answer, Refusal> {
+        match self {
+            Self::Whole(answer) => Ok(answer),
+            Self::Refused { refusal, .. } => Err(refusal),
+            Self::Undelivered => Err(Refusal::not_run(Reason::Unreachable).after(COME_BACK)),
+            Self::Lost => Err(LOST),
+        }
+    }
+}
+
 /// Returns true when an upstream has seen a try, or may have.
 pub(super) fn arrived(refusal: Refusal) -> bool {
     refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -1,5 +1,7 @@
 //! Requests to services that are not divided by key.
 
+use std::time::Duration;
+
 use acaciaring_core::choice::Sent;
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::state::Member;
@@ -7,13 +9,15 @@
 use acaciaring_schema::peer::Answer;
 use tokio::time::sleep;
 
-use super::{COME_BACK, Load, Plan, Router, Try, arrived};
+use super::outcome::LOST;
+use super::{COME_BACK, Load, Plan, Router, Silence, Try, arrived};
 use crate::clock;
 use crate::metrics::Counter;
+use crate::peer::Pending;
 use crate::view::View;
 
 /// Progress of one request.
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Progress {
     tried: Vec<MemberId>,
     tries: u32,
@@ -26,7 +30,11 @@
 impl Router {
     /// Brings a request to one of the members whose upstream serves the workspace.
     pub(super) async fn pooled(&self, plan: &Plan) -> Result<Answer, Refusal> {
-        let mut progress = Progress::default();
+        self.tries(plan, Progress::default()).await
+    }
+
+    /// Makes tries until one is answered or no further one is allowed.
+    async fn tries(&self, plan: &Plan, mut progress: Progress) -> Result<Answer, Refusal> {
         loop {
             let view = self.shared.view();
             let mut candidates = members(&view, plan);
@@ -39,35 +47,52 @@
                     return Err(progress.settle(self.none(now, &candidates)));
                 };
                 progress.tried.push(target);
-                match self.ask(plan, &view, target).await {
+                let ended = match self.timed(plan, &view, target).await {
+                    Ok(ended) => ended,
+                    Err(silence) => {
+                        let mut later = progress.clone();
+                        later.tries += 1;
+                        if let Some(after) = self.again(plan, &candidates, LOST, &mut later) {
+                            return self.beside(silence, self.tries_on(plan, after, later)).await;
+                        }
+                        self.wait(silence).await
+                    }
+                };
+                if let Try::Refused { refusal, .. } = &ended {
+                    self.note_full(plan, target, *refusal);
+                }
+                match ended.result() {
                     Ok(answer) => return Ok(answer),
                     Err(refusal) => refusal,
                 }
             };
             progress.note(refusal);
-            self.again(plan, &candidates, refusal, &mut progress).await?;
+            let after = self.again(plan, &candidates, refusal, &mut progress);
+            sleep(after.ok_or_else(|| progress.settle(refusal))?).await;
             self.metrics.count(Counter::RequestsRetried, 1);
         }
     }
 
-    /// Makes a try at a member and remembers what it refuses.
-    async fn ask(&self, plan: &Plan, view: &View, target: MemberId) -> Result<Answer, Refusal> {
-        match self.timed(plan, view, target).await {
-            Try::Whole(answer) => Ok(answer),
-            Try::Refused { refusal, .. } => {
-                self.note_full(plan, target, refusal);
-                Err(refusal)
-            }
-            Try::Undelivered => Err(Refusal::not_run(Reason::Unreachable).after(COME_BACK)),
-            Try::Lost => Err(Refusal::unknown(Reason::LostAnswer)),
-        }
+    /// Makes further tries after a pause.
+    fn tries_on<'a>(
+        &'a self,
+        plan: &'a Plan,
+        after: Duration,
+        progress: Progress,
+    ) -> Pending<'a, Result<Answer, Refusal>> {
+        Box::pin(async move {
+            sleep(after).await;
+            self.metrics.count(Counter::RequestsRetried, 1);
+            self.tries(plan, progress).await
+        })
     }
 
     /// Makes a try and lets the choice learn from it.
-    async fn timed(&self, plan: &Plan, view: &View, target: MemberId) -> Try {
+    async fn timed(&self, plan: &Plan, view: &View, target: MemberId) -> Result<Try, Silence> {
         let flight = Flight::new(self, target);
         let outcome = self.attempt(plan, view, target).await;
-        flight.end(&outcome);
+        // Others are better off elsewhere while the member is silent.
+        flight.end(outcome.as_ref().unwrap_or(&Try::Lost));
         outcome
     }
 
@@ -84,14 +109,14 @@
         }
     }
 
-    /// Waits for the next try; an error is the final answer.
-    async fn again(
+    /// Returns after which pause a further try may go out; `None` when none may.
+    fn again(
         &self,
         plan: &Plan,
         candidates: &[MemberId],
         refusal: Refusal,
         progress: &mut Progress,
-    ) -> Result<(), Refusal> {
+    ) -> Option<Duration> {
         let now = clock::now();
         let elsewhere = self.choose(now, candidates, &progress.tried).is_some();
         let failure = Failure {
@@ -104,15 +129,12 @@
             elsewhere,
             most: progress.most(plan.class.tries),
         };
-        let RetryDecision::Retry { after } = self.allowed(now, plan, &failure) else {
-            return Err(progress.settle(refusal));
-        };
+        let RetryDecision::Retry { after } = self.allowed(now, plan, &failure) else { return None };
         if !elsewhere {
             // Each member was tried; after the pause they may be tried again.
             progress.tried.clear();
         }
-        sleep(after).await;
-        Ok(())
+        Some(after)
     }
 }
 
