Let control go on until a stop has no callers any more

What was seen: a process that is to be started again beside its server waited for its callers' requests at other servers without control. From two seconds on its lease was over and its server held nothing, so the next process found its keys moved or cold; members that have it as lessor got no answer either.

Control now says when nothing runs here any more, goes on renewing and granting, and ends when told that no caller is left, or at the bound. Where the identity has ended there is nothing to renew, and control ends at once as before. What a stop does has a module of its own.

--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -80,7 +80,7 @@
     /// Proposes moves of this member's units, if it is time for it.
     pub(super) fn plan_when_due(&mut self, now: Time) {
         let due = now.since(self.balance.planned) >= self.parts.interval;
-        if due && !self.retiring() && !self.pausing && self.parts.balance.least_moves > 0 {
+        if due && !self.retiring() && !self.pausing() && self.parts.balance.least_moves > 0 {
             self.balance.planned = now;
             self.plan(now);
         }
@@ -99,7 +99,7 @@
         let service = self.parts.gate.mean_time().as_micros();
         let service = u32::try_from(service).unwrap_or(0);
         let rate = self.parts.gate.rate();
-        let leaving = self.pausing || identity.retiring.is_some();
+        let leaving = self.pausing() || identity.retiring.is_some();
         let loads = Loads { member: me.0, rate, busy, capacity, service, leaving };
         let datagram = Datagram { body: Some(datagram::Body::Loads(loads)) };
         let units = self.state.services().flat_map(Service::units);
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -50,6 +50,8 @@
     Declared(Arc<Declared>),
     /// The process was told to stop, and when.
     Stop(Time),
+    /// A process that stops has no request of a caller any more, and takes none.
+    CallersGone,
 }
 
 /// What became of a published document.
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod retire;
 mod roles;
 mod snapshot;
+mod stop;
 mod way;
 
 use std::collections::HashMap;
@@ -50,6 +51,7 @@
 use self::replication::Replication;
 use self::roles::Roles;
 use self::snapshot::Snapshots;
+use self::stop::Stopping;
 use crate::announce::Announcement;
 use crate::appender::Appender;
 use crate::clock;
@@ -164,9 +166,7 @@
     voting: Voting,
     /// When the slow duties were last done.
     duties: Time,
-    stopping: Option<Time>,
-    /// True while this process stops and the next one beside the same upstream takes its place.
-    pausing: bool,
+    stopping: Option<Stopping>,
     /// True when rights must be computed anew.
     dirty: bool,
     /// True while the gate takes no new requests.
@@ -206,7 +206,6 @@
             voting: Voting::default(),
             duties: Time::ZERO,
             stopping: None,
-            pausing: false,
             dirty: true,
             closed: false,
         }
@@ -226,8 +225,6 @@
             let now = clock::now();
             self.round(now);
             if self.finished(now) {
-                // The stop may have gone on by itself.
-                let _ = self.parts.releasing.try_send(());
                 return;
             }
         }
@@ -275,6 +272,7 @@
                 self.dirty = true;
             }
             Event::Stop(since) => self.stop(now, since),
+            Event::CallersGone => self.callers_gone(),
         }
     }
 
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -1,7 +1,6 @@
-//! End of an identity: graceful shutdown, lost upstream, lost lease.
+//! End of an identity: stop of the process, lost upstream, lost lease.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use acaciaring_core::state::{Attachment, Member, Phase};
@@ -21,59 +20,10 @@
 /// The same when the upstream has refused a connection since: its process is gone.
 const REFUSED_SILENCE: Duration = Duration::from_millis(700);
 
-/// Time for which a process that is to be started again beside its upstream still serves.
-///
-/// Callers leave it once it has said twice, a second apart, that it is not ready.
-const PAUSE: Duration = Duration::from_millis(2300);
-
 /// Time after which a stop no longer waits for the log and releases without it.
 const LOG: Duration = Duration::from_secs(2);
 
 impl Control {
-    /// Begins a graceful shutdown that was asked for at `since`.
-    pub(super) fn stop(&mut self, now: Time, since: Time) {
-        info!("graceful shutdown begins");
-        self.stopping.get_or_insert(since);
-        self.parts.shared.stopping.store(true, Ordering::Release);
-        self.pausing = self.resumable();
-        self.report_leaving();
-        if self.pausing {
-            return;
-        }
-        match &mut self.identity {
-            Some(identity) => {
-                identity.retire(now, Retiring::Stop);
-            }
-            None => self.proposals.clear(),
-        }
-    }
-
-    /// Returns true when the process may exit.
-    pub(super) fn finished(&self, now: Time) -> bool {
-        let Some(since) = self.stopping else { return false };
-        if self.identity.is_none() {
-            return true;
-        }
-        let late = now.since(since) >= self.parts.drain;
-        if self.pausing {
-            // The closed view is published before the count is read, so no request slips in between.
-            let closed = self.parts.shared.view().closed;
-            return late || (closed && self.parts.shared.inflight.total() == 0);
-        }
-        if late {
-            warn!(
-                inflight = self.parts.shared.inflight.total(),
-                "shutdown takes too long, ending it"
-            );
-        }
-        late || (self.closed && self.all_released())
-    }
-
-    /// Returns true once a process that is to be started again takes no more requests for its upstream.
-    pub(super) fn paused(&self, now: Time) -> bool {
-        self.pausing && self.stopping.is_some_and(|since| now.since(since) >= PAUSE)
-    }
-
     /// Drives the end of this identity, if it has begun.
     pub(super) fn retire(&mut self, now: Time) {
         self.watch_upstream(now);
@@ -218,7 +168,7 @@
     }
 
     /// Returns true when nothing is in flight and the new servers of all units know it.
-    fn all_released(&self) -> bool {
+    pub(super) fn all_released(&self) -> bool {
         let done = |((workspace, unit), version): (&(Name, UnitId), &Offset)| {
             self.handover.done.contains(&(Arc::clone(workspace), *unit, *version))
         };
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -250,9 +250,11 @@
         let start = clock::now();
         // Control ends by itself only after a stop.
         let _ = self.events.send(Event::Stop(start));
-        // Without the word of control callers are taken no longer either.
+        // Control has ended, or callers have had their part of the time.
         let _ = self.released.recv_timeout(self.drain / TAKING);
         let cut = self.doors.drain(self.drain.saturating_sub(clock::now().since(start)));
+        // Control may have ended.
+        let _ = self.events.send(Event::CallersGone);
         let _ = self.control.join();
         self.transport.stop();
         info!(cut, "stopped");
