--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -157,8 +157,20 @@
     held: Vec<Vec<u8>>,
 }
 
+impl Flow {
+    /// Lets held packets go and sets what becomes of the next ones.
+    fn release(&mut self, there: Passage) {
+        self.there = there;
+        for packet in std::mem::take(&mut self.held) {
+            self.socket.send(&packet).unwrap();
+        }
+    }
+}
+
 struct State {
     target: SocketAddr,
+    /// Time for which the packets of a new flow are held.
+    pause: Duration,
     flows: HashMap<SocketAddr, Flow>,
     /// Nothing passes in either direction, on new flows neither.
     cut: bool,
@@ -173,9 +185,15 @@
 
 impl Forwarder {
     pub fn start(target: SocketAddr) -> Self {
+        Self::slow(target, Duration::ZERO)
+    }
+
+    /// Starts one that holds the packets of each new flow for a while.
+    pub fn slow(target: SocketAddr, pause: Duration) -> Self {
         let socket = bind();
         let address = socket.local_addr().unwrap();
-        let state = Arc::new(Mutex::new(State { target, flows: HashMap::new(), cut: false }));
+        let flows = HashMap::new();
+        let state = Arc::new(Mutex::new(State { target, pause, flows, cut: false }));
         let stopped = Arc::new(AtomicBool::new(false));
         let (flows, stop) = (state.clone(), stopped.clone());
         thread::spawn(move || forward_there(&socket, &flows, &stop));
@@ -197,9 +215,7 @@
     /// Lets held packets go.
     pub fn release(&self) {
         for flow in self.state.lock().flows.values_mut() {
-            for packet in std::mem::take(&mut flow.held) {
-                flow.socket.send(&packet).unwrap();
-            }
+            flow.release(flow.there);
         }
     }
 
@@ -235,14 +251,23 @@
         if locked.cut {
             continue;
         }
-        let target = locked.target;
+        let (target, pause) = (locked.target, locked.pause);
         let flow = locked.flows.entry(from).or_insert_with(|| {
             let flow = bind();
             flow.connect(target).unwrap();
             let copies = (socket.try_clone().unwrap(), flow.try_clone().unwrap());
             let (state, stop) = (state.clone(), stop.clone());
+            let later = state.clone();
             thread::spawn(move || forward_back(&copies.0, &copies.1, from, &state, &stop));
-            Flow { socket: flow, there: Passage::Open, back: Passage::Open, held: Vec::new() }
+            let there = if pause.is_zero() { Passage::Open } else { Passage::Held };
+            if there == Passage::Held {
+                thread::spawn(move || {
+                    thread::sleep(pause);
+                    let mut state = later.lock();
+                    state.flows.get_mut(&from).unwrap().release(Passage::Open);
+                });
+            }
+            Flow { socket: flow, there, back: Passage::Open, held: Vec::new() }
         });
         match flow.there {
             Passage::Open => drop(flow.socket.send(&packet[..size])),
