Let a handshake go on for those who come after the one that began it

A request waits 200 ms for a connection. The handshake ended with it, at both ends, and the next request began another one. A member that is short of processor takes longer, so nobody reached it, while each try cost it one to two milliseconds of processor that it lacked: 2,508 handshakes ended half way within seven seconds, and requests were told after 201 ms that the member cannot be reached.

The handshake now goes on for five times that, in the background, and the next request uses it. As no other one begins before it is over, an address gets at most one in a second. Left: a longer patience of requests, which would wait where another member could serve them.

The tests on members that end, on silence and on partitions hold unchanged.

--- a/acaciaringd/src/peer/pool.rs
+++ b/acaciaringd/src/peer/pool.rs
@@ -30,6 +30,12 @@
 /// Time for which an address counts as suspect after its last fault.
 const SUSPICION: Duration = Duration::from_mins(1);
 
+/// Times the patience of a request for which a handshake goes on, at both ends.
+///
+/// Guards against a member short of processor that nobody reaches: were its handshakes ended with
+/// the patience of those who wait, each would be work in vain for it and the next begin at once.
+pub(super) const HANDSHAKE: u32 = 5;
+
 /// Datagrams that wait for a connection; older ones give way.
 const QUEUED: usize = 8;
 
@@ -97,7 +103,8 @@
     /// Returns a connection to `to` that is newer than `older`, opening one if there is none.
     ///
     /// All who ask at the same time wait for the same new connection, so a
-    /// silent connection costs one handshake however many requests were on it.
+    /// silent connection costs one handshake however many requests were on it. Who has waited for
+    /// long enough leaves, and the handshake goes on for the next.
     pub async fn get(
         &self,
         shared: &Arc<Shared>,
@@ -113,9 +120,11 @@
             slot.retire(older, &shared.metrics);
             connect(shared, to, slot)
         };
-        match outcome.wait_for(Option::is_some).await {
-            Ok(outcome) => outcome.clone().unwrap_or(Err(ConnectError::Stopped)),
-            Err(_) => Err(ConnectError::Stopped),
+        let established = outcome.wait_for(Option::is_some);
+        match time::timeout(shared.settings.connect, established).await {
+            Ok(Ok(outcome)) => outcome.clone().unwrap_or(Err(ConnectError::Stopped)),
+            Ok(Err(_)) => Err(ConnectError::Stopped),
+            Err(_) => Err(ConnectError::Late),
         }
     }
 
@@ -212,7 +221,7 @@
     let runtime = shared.runtime.clone();
     let shared = Arc::clone(shared);
     let task = async move {
-        let limit = shared.settings.connect;
+        let limit = shared.settings.connect * HANDSHAKE;
         let outcome = time::timeout(limit, establish(&shared, to, fresh)).await;
         let outcome = outcome.unwrap_or(Err(ConnectError::Late));
         match &outcome {
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -19,6 +19,7 @@
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
 use crate::peer::link::{Heard, Link, greet};
+use crate::peer::pool::HANDSHAKE;
 use crate::peer::run::serve_request;
 use crate::peer::table;
 use crate::peer::transport::Shared;
@@ -43,7 +44,7 @@
 
 /// Completes the handshake of a connection that a peer opens.
 async fn welcome(shared: &Arc<Shared>, incoming: Incoming) -> Result<(), ConnectError> {
-    let established = time::timeout(shared.settings.connect, async {
+    let established = time::timeout(shared.settings.connect * HANDSHAKE, async {
         let conn = incoming.await.context(BrokenSnafu)?;
         let process = greet(&conn, shared.process).await?;
         Ok((conn, process))
--- a/acaciaringd/src/peer/settings.rs
+++ b/acaciaringd/src/peer/settings.rs
@@ -21,7 +21,7 @@
     pub threads: usize,
     /// Time within which a request is acknowledged; later the connection is suspect.
     pub arrival: Duration,
-    /// Time within which a connection is established.
+    /// Time for which a message waits for a connection; the handshake goes on for some time after it.
     pub connect: Duration,
     /// Largest message in bytes.
     pub limit: usize,
