Show that slow connections are taken for silent ones

A connection on which an acknowledgement takes more than 60 ms is given up for a new one, which is no faster, however long its own round trips are; and a process that was late itself takes what it has not read yet for silence. Both make handshakes, which cost a member without processor what it lacks; the first also makes members refuse requests whose senders they could not ask within that time.

--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -174,6 +174,8 @@
     flows: HashMap<SocketAddr, Flow>,
     /// Nothing passes in either direction, on new flows neither.
     cut: bool,
+    /// Time that each packet takes in each direction.
+    delay: Duration,
 }
 
 /// Forwards UDP packets; tells flows apart by their source address.
@@ -193,7 +195,8 @@
         let socket = bind();
         let address = socket.local_addr().unwrap();
         let flows = HashMap::new();
-        let state = Arc::new(Mutex::new(State { target, pause, flows, cut: false }));
+        let state = State { target, pause, flows, cut: false, delay: Duration::ZERO };
+        let state = Arc::new(Mutex::new(state));
         let stopped = Arc::new(AtomicBool::new(false));
         let (flows, stop) = (state.clone(), stopped.clone());
         thread::spawn(move || forward_there(&socket, &flows, &stop));
@@ -212,6 +215,11 @@
         self.state.lock().cut = cut;
     }
 
+    /// Lets each packet take this long in each direction.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().delay = delay;
+    }
+
     /// Lets held packets go.
     pub fn release(&self) {
         for flow in self.state.lock().flows.values_mut() {
@@ -270,7 +278,12 @@
             Flow { socket: flow, there, back: Passage::Open, held: Vec::new() }
         });
         match flow.there {
-            Passage::Open => drop(flow.socket.send(&packet[..size])),
+            Passage::Open => {
+                let target = flow.socket.try_clone().unwrap();
+                pass(locked.delay, packet[..size].to_vec(), move |packet| {
+                    drop(target.send(packet));
+                });
+            }
             Passage::Held => flow.held.push(packet[..size].to_vec()),
             Passage::Silent => {}
         }
@@ -289,9 +302,23 @@
         let Ok(size) = flow.recv(&mut packet) else {
             continue;
         };
-        let passes = |state: &State| !state.cut && state.flows[&to].back == Passage::Open;
-        if passes(&state.lock()) {
-            let _ = socket.send_to(&packet[..size], to);
+        let locked = state.lock();
+        if !locked.cut && locked.flows[&to].back == Passage::Open {
+            let socket = socket.try_clone().unwrap();
+            pass(locked.delay, packet[..size].to_vec(), move |packet| {
+                drop(socket.send_to(packet, to));
+            });
         }
     }
 }
+
+/// Passes a packet on, after a delay on a thread of its own.
+fn pass(delay: Duration, packet: Vec<u8>, send: impl FnOnce(&[u8]) + Send + 'static) {
+    if delay.is_zero() {
+        return send(&packet);
+    }
+    thread::spawn(move || {
+        thread::sleep(delay);
+        send(&packet);
+    });
+}
