Let the patience with a connection follow its round trips and the process's own lateness

Members gave connections up after 60 ms without a sign of life and made new ones, which are no faster where the other end is far or short of processor: in a saturated fleet 22,424 in 30 s, at one handshake for both ends each. A member that is asked whether it still waits had the same 60 ms, so requests were refused as not run for want of its answer.

Cause: each of these times was fixed. Now a sign of life is awaited for `peer.arrival` and two round trips of the connection as it measures them, bounded so that a connection which was slow once is still given up. And a process whose own timer was late waits again, at most twice: what came while it stood still lies unread in its socket.

Ruled out: a longer fixed time, which would find a silent connection later on every link.

Before, with 120 ms between two members: the fourth request in a row was refused as not run; a process held for 150 ms made a second connection. After: eleven requests on one connection, and ten such rounds on one.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::peer::exchange::{self, Sent, abandon, cancel, probe, watched};
 use crate::peer::frame::{self, FrameError, FrameReader};
+use crate::peer::patience;
 use crate::peer::search::{Search, Subject};
 use crate::peer::transport::Shared;
 
@@ -100,7 +101,7 @@
         }
     };
     drop(call);
-    let patience = exchange::patience(shared, &frame);
+    let size = frame.len();
     let sent = match exchange::send(shared, to, frame, repeat, deadline).await {
         Ok(sent) => sent,
         Err(error) => {
@@ -108,6 +109,7 @@
             return RequestOutcome::NotDelivered;
         }
     };
+    let patience = exchange::patience(shared, &sent.link.conn, size);
     let subject = Subject { to, attempt, start, deadline };
     let hop = Hop { shared, subject, silence, arrived: false, sent };
     let mut abandoned = Abandoned { shared, to, attempt, armed: true };
@@ -165,7 +167,7 @@
             biased;
             reply = answer(&mut self.sent.reader) => Some(reply),
             Ok(None) = delivered => None,
-            () = time::sleep(patience) => {
+            () = patience::pass(patience) => {
                 if self.sent.link.received() == before {
                     return self.recover().await;
                 }
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -20,6 +20,7 @@
 };
 use crate::peer::frame::{self, Code, FrameReader};
 use crate::peer::link::{self, Link};
+use crate::peer::patience;
 use crate::peer::transport::Shared;
 
 /// Tries to deliver a cancellation; the deadline of the attempt ends its work in the end.
@@ -142,7 +143,7 @@
         if !is_there(shared, &link, repeat).await {
             continue;
         }
-        let limit = deadline.min(Instant::now() + patience(shared, &frame));
+        let limit = deadline.min(Instant::now() + patience(shared, &link.conn, frame.len()));
         let opened = time::timeout_at(limit, link.open(shared.settings.limit)).await;
         let Ok(Some((mut stream, reader))) = opened else {
             continue;
@@ -171,7 +172,8 @@
     let mut received = None;
     let mut quiet = 0;
     loop {
-        if let Ok(reply) = time::timeout(shared.settings.arrival, &mut reply).await {
+        let span = patience::arrival(shared, &link.conn);
+        if let Some(reply) = patience::within(span, &mut reply).await {
             return Some(reply);
         }
         let seen = link.received();
@@ -187,8 +189,8 @@
 /// Asks on one connection whether an attempt has arrived; `None` without a timely reply.
 pub(super) async fn probe(shared: &Shared, conn: &Connection, attempt: u64) -> Option<bool> {
     let body = call::Body::Probe(Probe { attempt });
-    let reply = time::timeout(shared.settings.arrival, ask(shared, conn, body)).await;
-    match reply.ok()?? {
+    let span = patience::arrival(shared, conn);
+    match patience::within(span, ask(shared, conn, body)).await?? {
         reply::Body::Probe(ProbeReply { arrived }) => Some(arrived),
         _ => None,
     }
@@ -217,10 +219,10 @@
     let _ = stream.reset(Code::Abandoned.into());
 }
 
-/// Returns the time within which the receiver acknowledges a message.
-pub(super) fn patience(shared: &Shared, frame: &Bytes) -> Duration {
-    let transfer = u64::try_from(frame.len() / BYTES_PER_MILLI).unwrap_or(u64::MAX);
-    shared.settings.arrival + Duration::from_millis(transfer)
+/// Returns the time within which the receiver acknowledges a message of so many bytes.
+pub(super) fn patience(shared: &Shared, conn: &Connection, size: usize) -> Duration {
+    let transfer = u64::try_from(size / BYTES_PER_MILLI).unwrap_or(u64::MAX);
+    patience::arrival(shared, conn) + Duration::from_millis(transfer)
 }
 
 pub(super) fn millis(span: Duration) -> u32 {
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -13,6 +13,7 @@
 mod lags;
 mod lanes;
 mod link;
+mod patience;
 mod pool;
 mod run;
 mod search;
