Show what a stop leaves unknown to members that wait for it

A member that stops counts what runs at its server, and closes its connections when that is none. A caller of one of them gets an answer that promises nothing, around a planned stop.

--- a/acaciaringd/tests/peer.rs
+++ b/acaciaringd/tests/peer.rs
@@ -3,6 +3,7 @@
 mod peer_support;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -234,3 +235,57 @@
     assert_eq!(outcome, RequestOutcome::NotDelivered);
     assert_eq!(Arc::strong_count(&client.handler), 2, "the transport lives until it is dropped");
 }
+
+/// A member is told to stop, and its last request for another one has just run. Nothing was in flight any
+/// more by its count, so it closed its connections, with the answer still in them. The caller of the other
+/// one was told that nobody knows what became of the request.
+#[test]
+fn a_stop_delivers_the_answers_that_are_due() {
+    let authority = Authority::new();
+    let (started, start) = bounded(1);
+    let (go, wait) = bounded::<()>(1);
+    let server = Node::start(authority.settings(), move |request, _| {
+        started.send(()).unwrap();
+        wait.recv_timeout(PATIENCE).unwrap();
+        echo(request)
+    });
+    let client = Node::echo(authority.settings());
+    let to = server.transport.local_addr();
+    let sent = vec![b'x'; 3 << 20];
+    thread::scope(|scope| {
+        let waiting =
+            scope.spawn(|| client.transport.blocking_request(to, request(sent.clone()), PATIENCE));
+        start.recv_timeout(PATIENCE).unwrap();
+        go.send(()).unwrap();
+        server.transport.stop();
+        assert!(body(waiting.join().unwrap()) == sent, "the whole answer");
+    });
+}
+
+/// Members send a steady stream of requests to one that stops. Each of them has an answer or has not run:
+/// what comes after the last answer is not taken, and its sender is told so by the end of the connection.
+#[test]
+fn requests_that_meet_a_stop_are_answered_or_have_not_run() {
+    let authority = Authority::new();
+    let server = Node::echo(authority.settings());
+    let to = server.transport.local_addr();
+    let clients = [Node::echo(authority.settings()), Node::echo(authority.settings())];
+    let answered = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for client in clients.iter().cycle().take(16) {
+            let answered = &answered;
+            scope.spawn(move || {
+                loop {
+                    match client.transport.blocking_request(to, request("a"), PATIENCE) {
+                        RequestOutcome::Answer(_) => answered.fetch_add(1, Ordering::SeqCst),
+                        RequestOutcome::NotDelivered => return,
+                        RequestOutcome::Lost => panic!("a request with an unknown end"),
+                    };
+                }
+            });
+        }
+        wait_for(|| answered.load(Ordering::SeqCst) > 200);
+        server.transport.stop();
+    });
+    assert_eq!(server.runs(), answered.load(Ordering::SeqCst));
+}
