Let a stop deliver what is due to other members before it closes its connections

What callers saw: around a planned stop an answer that promises nothing, at an entry which waited for the member that stopped.

Cause: a request counts as ended when its handler has returned, but its answer is in the connection until the other end has it, and closing a connection drops what is in it. A request that came in the same moment was cut off unanswered too, and its sender cannot tell that it was not taken.

A message now counts as in hand until the peer has its answer. A stop takes no more messages, tells their senders so, and waits for those in hand within its one bound before it closes anything. This also holds for what runs under an identity that has ended meanwhile.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -252,12 +252,13 @@
         let _ = self.events.send(Event::Stop(start));
         // Control has ended, or callers have had their part of the time.
         let _ = self.released.recv_timeout(self.drain / TAKING);
-        let cut = self.doors.drain(self.drain.saturating_sub(clock::now().since(start)));
+        let left = || self.drain.saturating_sub(clock::now().since(start));
+        let cut = self.doors.drain(left());
         // Control may have ended.
         let _ = self.events.send(Event::CallersGone);
         let _ = self.control.join();
-        self.transport.stop();
-        info!(cut, "stopped");
+        let due = self.transport.stop_within(left());
+        info!(cut, due, "stopped");
         cut
     }
 }
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod cancel;
+mod desk;
 mod error;
 mod exchange;
 mod frame;
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -133,6 +133,7 @@
             return reset(&mut send, error.code());
         }
     };
+    let Some(_held) = shared.desk.take() else { return reset(&mut send, Code::Busy) };
     match body {
         call::Body::Request(mut request) => {
             let delay = shared.lags.delay(process, request.clock);
@@ -210,9 +211,12 @@
 }
 
 /// Writes a message; a failure means that the connection is over or the sender no longer listens.
+///
+/// The last one is out of hand when the sender has it, for a stop drops what is still in a connection.
 pub(super) async fn write_frame(send: &mut SendStream, frame: Bytes, last: bool) {
     if send.write_chunk(frame).await.is_ok() && last {
         let _ = send.finish();
+        let _ = send.stopped().await;
     }
 }
 
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -5,7 +5,8 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use quinn::{ClientConfig, Endpoint};
 use snafu::ResultExt;
@@ -19,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peer::attempt::{RequestOutcome, Running};
 use crate::peer::cancel::CancelFlag;
+use crate::peer::desk::Desk;
 use crate::peer::error::{BindSnafu, CallError, ConnectError, PeerError, ThreadsSnafu};
 use crate::peer::exchange;
 use crate::peer::frame::Code;
@@ -37,6 +39,9 @@
 /// Time for telling peers that this process stops.
 const FAREWELL: Duration = Duration::from_millis(500);
 
+/// Steps in which a stop looks whether messages are still in hand.
+const STEP: Duration = Duration::from_millis(10);
+
 /// Outcome of a handler that may wait.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -73,6 +78,8 @@
     pub lanes: Lanes,
     pub lags: Lags,
     pub registry: Registry,
+    /// Messages of others in hand.
+    pub desk: Arc<Desk>,
     pub metrics: Metrics,
     links: AtomicU64,
     stopped: AtomicBool,
@@ -147,6 +154,7 @@
             lanes,
             lags: Lags::default(),
             registry: Registry::default(),
+            desk: Arc::default(),
             metrics,
             links: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
@@ -284,7 +292,31 @@
     }
 
     /// Closes all connections and tells the peers; later calls fail at once.
+    ///
+    /// What is due to peers has half a second.
     pub fn stop(&self) {
+        // What is left then is lost.
+        let _ = self.stop_within(FAREWELL);
+    }
+
+    /// Does the same as [`Transport::stop`], with another bound on what is due; returns how much is left.
+    ///
+    /// No more messages are taken. Answers are due until the peers have them, for closing a
+    /// connection drops what is in it.
+    #[must_use]
+    pub fn stop_within(&self, bound: Duration) -> usize {
+        let shared = &self.inner.shared;
+        shared.desk.close();
+        let start = Instant::now();
+        while shared.desk.held() > 0 && start.elapsed() < bound {
+            thread::sleep(STEP);
+        }
+        let due = shared.desk.held();
+        self.close();
+        due
+    }
+
+    fn close(&self) {
         let shared = &self.inner.shared;
         if shared.stopped.swap(true, Ordering::AcqRel) {
             return;
