--- a/acaciaringd/tests/peer_connect.rs
+++ b/acaciaringd/tests/peer_connect.rs
@@ -5,9 +5,10 @@
 use std::thread;
 use std::time::Duration;
 
+use acaciaring_schema::peer::{Datagram, Request};
 use acaciaringd::peer::{self, PeerSettings, RequestOutcome};
 
-use crate::peer_support::{Authority, Forwarder, Node, PATIENCE, echo, request};
+use crate::peer_support::{Authority, Forwarder, Node, PATIENCE, Passage, echo, request, wait_for};
 
 /// A member had a tenth of a core and all of it was in use, so a handshake with it took longer than
 /// the 200 ms for which a request waits. Each handshake was given up then and the next request began
@@ -38,3 +39,44 @@
     assert!(answered >= 12, "{answered} of 24 were answered");
     assert!(forwarder.flows() <= 2, "{} handshakes", forwarder.flows());
 }
+
+/// In a wide fleet each of two members opened a connection of its own to the other, though one was
+/// there: what the peer had opened counted for 1.5 s after the peer was last heard, and a pair
+/// exchanges a request less often than that. That is twice the handshakes when a fleet starts.
+#[test]
+fn a_connection_that_the_peer_opened_a_while_ago_is_used() {
+    let authority = Authority::new();
+    let (one, other) = (Node::echo(authority.settings()), Node::echo(authority.settings()));
+    let answer = RequestOutcome::Answer(echo(request("a")));
+    for (from, to) in [(&one, &other), (&other, &one)] {
+        let to = to.transport.local_addr();
+        assert_eq!(from.transport.blocking_request(to, request("a"), PATIENCE), answer);
+        thread::sleep(Duration::from_secs(3));
+    }
+    assert_eq!(one.transport.traffic().connections, 1);
+}
+
+/// A member without processor for a tenth of a second does not answer a test in time. Its connection
+/// was closed at once and a handshake begun, which cost it more of what it lacked, and until that was
+/// over it could not be reached, though it had long been heard again on the connection that was there.
+#[test]
+fn a_connection_on_which_the_peer_is_heard_again_is_used_before_another_is_there() {
+    let authority = Authority::new();
+    let server = Node::echo(authority.settings());
+    let connect = Duration::from_millis(200);
+    let client = Node::echo(PeerSettings { connect, ..authority.settings() });
+    let forwarder = Forwarder::slow(server.transport.local_addr(), connect);
+    let once = || Request { once: true, ..request("a") };
+    let send = || client.transport.blocking_request(forwarder.address, once(), PATIENCE);
+    wait_for(|| matches!(send(), RequestOutcome::Answer(_)));
+    client.transport.send(forwarder.address, &Datagram::default(), false);
+    let (back, _) = server.datagrams.recv_timeout(PATIENCE).unwrap();
+    thread::sleep(Duration::from_millis(400));
+    forwarder.stall(connect * 10);
+    forwarder.set(Passage::Silent, Passage::Silent);
+    assert_eq!(send(), RequestOutcome::NotDelivered);
+    forwarder.set(Passage::Open, Passage::Open);
+    server.transport.send(back, &Datagram::default(), false);
+    client.datagrams.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(send(), RequestOutcome::Answer(echo(request("a"))));
+}
--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -220,6 +220,11 @@
         self.state.lock().delay = delay;
     }
 
+    /// Sets for how long the packets of further flows are held.
+    pub fn stall(&self, pause: Duration) {
+        self.state.lock().pause = pause;
+    }
+
     /// Lets held packets go.
     pub fn release(&self) {
         for flow in self.state.lock().flows.values_mut() {
