Use a connection that the peer opened for as long as it is likely to work

What a peer had opened counted for 1.5 s after the peer was last heard, so in a wide fleet each of two members opened its own: twice the connections and handshakes, most of them when a fleet starts. It now counts for 15 s, below the 20 s after which an unused connection ends. A connection that has gone silent is still found before a request is lost on it: one silent for that long is tested first. Datagrams, which are not, keep to 1.5 s.

--- a/acaciaringd/src/peer/pool.rs
+++ b/acaciaringd/src/peer/pool.rs
@@ -21,12 +21,15 @@
 use crate::peer::tls::SERVER_NAME;
 use crate::peer::transport::Shared;
 
-/// Time since the peer was last heard within which a connection that it opened is used.
+/// Time since the peer was last heard within which a datagram goes on a connection that it opened.
 ///
 /// Without this bound an incoming connection that has gone silent would be used
 /// until its idle timeout. Lease renewals keep those between lessor and holder in use.
 const HEARD: Duration = Duration::from_millis(1500);
 
+/// The same for a message on a stream; after a longer silence a test comes first.
+const REUSED: Duration = Duration::from_secs(15);
+
 /// Time for which an address counts as suspect after its last fault.
 const SUSPICION: Duration = Duration::from_mins(1);
 
@@ -62,8 +65,10 @@
 
 impl Slot {
     /// Returns the connection to use, if there is one that is newer than `older`.
-    fn pick(&self, older: LinkId) -> Option<&Arc<Link>> {
-        let incoming = self.incoming.iter().filter(|link| link.heard.within(HEARD));
+    ///
+    /// One that the peer opened counts when it was heard within `span`.
+    fn pick(&self, older: LinkId, span: Duration) -> Option<&Arc<Link>> {
+        let incoming = self.incoming.iter().filter(|link| link.heard.within(span));
         let mut links = self.outgoing.iter().chain(incoming);
         links.find(|link| link.id > older && link.is_open())
     }
@@ -114,7 +119,7 @@
         let mut outcome = {
             let mut slots = self.slots.lock();
             let slot = slots.entry(to).or_default();
-            if let Some(link) = slot.pick(older) {
+            if let Some(link) = slot.pick(older, REUSED) {
                 return Ok(Arc::clone(link));
             }
             slot.retire(older, &shared.metrics);
@@ -130,14 +135,14 @@
 
     /// Returns true when there is a connection to `to` that can be used.
     pub fn connected(&self, to: SocketAddr) -> bool {
-        self.slots.lock().get(&to).is_some_and(|slot| slot.pick(0).is_some())
+        self.slots.lock().get(&to).is_some_and(|slot| slot.pick(0, REUSED).is_some())
     }
 
     /// Sends a datagram on the connection to `to`, or once one is open.
     pub fn send(&self, shared: &Arc<Shared>, to: SocketAddr, datagram: Bytes, fresh: bool) {
         let mut slots = self.slots.lock();
         let slot = slots.entry(to).or_default();
-        if !fresh && let Some(link) = slot.pick(0) {
+        if !fresh && let Some(link) = slot.pick(0, HEARD) {
             match link.conn.send_datagram(datagram.clone()) {
                 Err(SendDatagramError::ConnectionLost(_)) => {}
                 Err(error) => return warn!(%to, %error, "datagram not sent"),
