Keep a connection that did not answer until another one is there

A member without processor for a tenth of a second does not answer a test within 60 ms. It could not be reached before the handshake was over, although it was heard again on the old connection.

Such a connection is now doubted: used no more until the peer is heard on it again, and replaced once another one is there. A member that is gone is not heard, so nothing is sent to it that was not before.

The test was answered on the old connection where its caller was told that the request was not delivered.

--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -16,22 +16,34 @@
 /// Number that orders connections of this process by the time of their start.
 pub(super) type LinkId = u64;
 
-/// Time at which a peer was last heard on a connection.
+/// Time at which a peer was last heard on a connection, and whether it is still thought to be there.
 #[derive(Debug, Clone)]
 pub(super) struct Heard {
     start: Instant,
     millis: Arc<AtomicU64>,
+    doubted: Arc<AtomicBool>,
 }
 
 impl Heard {
     /// Returns a record that says "now".
     pub fn new() -> Self {
-        Self { start: Instant::now(), millis: Arc::default() }
+        Self { start: Instant::now(), millis: Arc::default(), doubted: Arc::default() }
     }
 
     /// Records that the peer was heard now.
     pub fn touch(&self) {
         self.millis.store(self.millis(), Ordering::Relaxed);
+        self.doubted.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that the peer seems to be gone; returns whether that is new.
+    pub fn doubt(&self) -> bool {
+        !self.doubted.swap(true, Ordering::Relaxed)
+    }
+
+    /// Returns whether the peer seemed to be gone and was not heard since.
+    pub fn is_doubted(&self) -> bool {
+        self.doubted.load(Ordering::Relaxed)
     }
 
     /// Returns whether the peer was heard within `span`.
--- a/acaciaringd/src/peer/pool.rs
+++ b/acaciaringd/src/peer/pool.rs
@@ -70,22 +70,30 @@
     fn pick(&self, older: LinkId, span: Duration) -> Option<&Arc<Link>> {
         let incoming = self.incoming.iter().filter(|link| link.heard.within(span));
         let mut links = self.outgoing.iter().chain(incoming);
-        links.find(|link| link.id > older && link.is_open())
+        links.find(|link| link.id > older && link.is_open() && !link.heard.is_doubted())
     }
 
-    /// Gives up the connections up to number `last`.
-    fn retire(&mut self, last: LinkId, metrics: &Metrics) {
-        let outgoing = self.outgoing.take_if(|link| link.id <= last);
-        let incoming = self.incoming.take_if(|link| link.id <= last);
-        for link in outgoing.iter().chain(&incoming) {
-            link.retire();
-            if link.is_open() {
+    /// Uses the connections up to number `last` no more unless the peer is heard on them again.
+    ///
+    /// They stay open until another one is there: a peer that is short of processor answers late,
+    /// and is reached by what is there before a handshake with it is over.
+    fn doubt(&mut self, last: LinkId, metrics: &Metrics) {
+        for link in self.outgoing.iter().chain(&self.incoming) {
+            if link.id <= last && link.is_open() && link.heard.doubt() {
                 self.suspect = Some(Instant::now());
                 metrics.count(Counter::PeerSuspects, 1);
             }
         }
     }
 
+    /// Takes in a connection that this process opened, in place of the one before and of what is doubted.
+    fn replace(&mut self, link: Arc<Link>) {
+        let incoming = self.incoming.take_if(|link| link.heard.is_doubted());
+        for old in self.outgoing.replace(link).iter().chain(&incoming) {
+            old.retire();
+        }
+    }
+
     fn is_suspect(&self) -> bool {
         self.suspect.is_some_and(|since| since.elapsed() < SUSPICION)
     }
@@ -122,7 +130,7 @@
             if let Some(link) = slot.pick(older, REUSED) {
                 return Ok(Arc::clone(link));
             }
-            slot.retire(older, &shared.metrics);
+            slot.doubt(older, &shared.metrics);
             connect(shared, to, slot)
         };
         let established = outcome.wait_for(Option::is_some);
@@ -133,9 +141,9 @@
         }
     }
 
-    /// Returns true when there is a connection to `to` that can be used.
+    /// Returns true when there is a connection to `to` that a datagram would go on.
     pub fn connected(&self, to: SocketAddr) -> bool {
-        self.slots.lock().get(&to).is_some_and(|slot| slot.pick(0, REUSED).is_some())
+        self.slots.lock().get(&to).is_some_and(|slot| slot.pick(0, HEARD).is_some())
     }
 
     /// Sends a datagram on the connection to `to`, or once one is open.
@@ -154,7 +162,7 @@
         }
         slot.queued.push_back(datagram);
         if fresh && slot.connecting.is_none() {
-            slot.retire(LinkId::MAX, &shared.metrics);
+            slot.doubt(LinkId::MAX, &shared.metrics);
         }
         connect(shared, to, slot);
     }
@@ -165,7 +173,7 @@
         let Some(slot) = slots.get_mut(&to) else {
             return;
         };
-        slot.retire(id, metrics);
+        slot.doubt(id, metrics);
     }
 
     /// Adds a connection that a peer has opened.
@@ -211,7 +219,7 @@
                 warn!(%to, %error, "datagram not sent");
             }
         }
-        slot.outgoing = Some(Arc::clone(link));
+        slot.replace(Arc::clone(link));
     }
 }
 
