Choose near members first while they have room

What callers saw: on wide deployments of small machines too little is served, and processors are the bound. Each request of a pooled service went to one of all members alike, so nearly all of them needed a second process, and three of four crossed data centres.

Change: the own upstream takes a request while less than half of its places are in use, by the count of its gate; then members of the same data centre by their reports. Beyond half they are taken only where they cost no more than the better of two drawn from all. Slow, failing and shedding members are not preferred; a member that looks slow is still tried now and then.

--- a/acaciaring_core/src/choice.rs
+++ b/acaciaring_core/src/choice.rs
@@ -3,8 +3,9 @@
 //! Of two members drawn at random the one with the lower expected cost is taken: load times latency.
 //! Load comes from reports of the process beside the upstream, which lag, so requests sent since the
 //! report are added. One that was not tried for long is tried whatever it costs. Health and load
-//! endpoints of upstreams play no part, they mislead.
+//! endpoints of upstreams play no part, they mislead. What is near goes first while it has room.
 
+mod near;
 mod peer;
 
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
 
 use rand::Rng;
 
+pub use self::near::{Near, Own};
 use self::peer::Peer;
 use crate::id::MemberId;
 use crate::time::Time;
--- a/acaciaring_core/src/choice/peer.rs
+++ b/acaciaring_core/src/choice/peer.rs
@@ -115,7 +115,7 @@
     /// Returns the smoothed latency in seconds.
     ///
     /// A latency nobody confirms fades. Else a member that was slow once would never be tried again.
-    fn latency(&self, now: Time, settings: &ChoiceSettings, typical: f64) -> f64 {
+    pub(super) fn latency(&self, now: Time, settings: &ChoiceSettings, typical: f64) -> f64 {
         let known = self.latency.unwrap_or(typical);
         typical + (known - typical) * weight(now.since(self.measured), settings.half_life * 4)
     }
@@ -140,11 +140,19 @@
     }
 
     pub(super) fn cost(&self, now: Time, settings: &ChoiceSettings, typical: f64) -> f64 {
+        let latency = self.latency(now, settings, typical);
+        latency * (self.busy(now, settings) + 1.0) / (self.capacity * self.warmth(now, settings))
+    }
+
+    /// Returns the part of its capacity that is in use.
+    pub(super) fn load(&self, now: Time, settings: &ChoiceSettings) -> f64 {
+        self.busy(now, settings) / (self.capacity * self.warmth(now, settings))
+    }
+
+    fn busy(&self, now: Time, settings: &ChoiceSettings) -> f64 {
         let fresh = weight(now.since(self.reported), settings.half_life);
         // A request that this process has in flight counts, also when reports say nothing of it.
-        let busy = (self.busy * fresh + self.since).max(self.flying);
-        let latency = self.latency(now, settings, typical);
-        latency * (busy + 1.0) / (self.capacity * self.warmth(now, settings))
+        (self.busy * fresh + self.since).max(self.flying)
     }
 
     /// Returns the share of its capacity that a member may be counted with while it is cold.
--- /dev/null
+++ b/acaciaring_core/tests/choice_near.rs
@@ -0,0 +1,222 @@
+//! Choice of a member where some are near: the own one first, then those of the data centre.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use acaciaring_core::choice::{Choice, ChoiceSettings, Near, Own, Sent};
+use acaciaring_core::{MemberId, Time};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Members in all, and of them in each data centre.
+const MEMBERS: usize = 8;
+const CENTRE: usize = 2;
+
+const SLOTS: u32 = 10;
+
+/// Members that are an entry and an upstream each, in data centres of two.
+struct Mesh {
+    choices: Vec<Choice>,
+    rng: StdRng,
+    now: Time,
+    /// Requests at each upstream.
+    busy: [u32; MEMBERS],
+    /// Answer time of each upstream in milliseconds.
+    speeds: [u64; MEMBERS],
+    /// End, entry, member and time of each request in flight.
+    flying: Vec<(Time, usize, usize, Duration)>,
+    /// Requests by entry and member.
+    sent: BTreeMap<(usize, usize), u32>,
+    /// Most requests at each upstream.
+    most: [u32; MEMBERS],
+    near: bool,
+}
+
+impl Mesh {
+    fn new() -> Self {
+        Self {
+            choices: (0..MEMBERS).map(|_| Choice::new(ChoiceSettings::default())).collect(),
+            rng: StdRng::seed_from_u64(7),
+            now: Time::ZERO,
+            busy: [0; MEMBERS],
+            speeds: [20; MEMBERS],
+            flying: Vec::new(),
+            sent: BTreeMap::new(),
+            most: [0; MEMBERS],
+            near: true,
+        }
+    }
+
+    /// Plays a span in which each entry gets so many requests in ten milliseconds.
+    fn play(&mut self, millis: u64, rates: [u32; MEMBERS]) {
+        self.sent.clear();
+        self.most = self.busy;
+        let mut owed = [0; MEMBERS];
+        for _ in 0..millis {
+            self.now = self.now + Duration::from_millis(1);
+            self.land();
+            for entry in 0..MEMBERS {
+                owed[entry] += rates[entry];
+                while owed[entry] >= 10 {
+                    owed[entry] -= 10;
+                    self.send(entry);
+                }
+            }
+        }
+    }
+
+    fn land(&mut self) {
+        let now = self.now;
+        let (landed, flying): (Vec<_>, Vec<_>) =
+            self.flying.drain(..).partition(|(end, ..)| *end <= now);
+        self.flying = flying;
+        for (_, entry, member, took) in landed {
+            self.busy[member] -= 1;
+            let choice = &mut self.choices[entry];
+            choice.done(now, id(member), Sent::Answered(took));
+            choice.report(now, id(member), self.busy[member], SLOTS);
+        }
+    }
+
+    fn send(&mut self, entry: usize) {
+        let all: Vec<_> = (0..MEMBERS).map(id).collect();
+        let centre = entry / CENTRE * CENTRE;
+        let own = Own { member: id(entry), busy: self.busy[entry], capacity: SLOTS };
+        let near = Near { own: Some(own), others: &all[centre..centre + CENTRE] };
+        let choice = &mut self.choices[entry];
+        let near = if self.near { near } else { Near::default() };
+        let target = choice.choose_near(self.now, &mut self.rng, near, &all, &[]);
+        let target = target.expect("all members are open");
+        choice.sent(self.now, target);
+        let member = (0..MEMBERS).find(|member| id(*member) == target).unwrap();
+        self.busy[member] += 1;
+        self.most[member] = self.most[member].max(self.busy[member]);
+        // What finds no slot waits for those before it.
+        let turns = u64::from(self.busy[member].div_ceil(SLOTS));
+        let took = Duration::from_millis(self.speeds[member] * turns);
+        self.flying.push((self.now + took, entry, member, took));
+        *self.sent.entry((entry, member)).or_default() += 1;
+    }
+
+    /// Share of the requests that passes.
+    fn share(&self, passes: impl Fn(usize, usize) -> bool) -> f64 {
+        let all: u32 = self.sent.values().sum();
+        let some = self.sent.iter().filter(|((entry, member), _)| passes(*entry, *member));
+        f64::from(some.map(|(_, count)| count).sum::<u32>()) / f64::from(all)
+    }
+
+    /// Share of the requests that each member gets.
+    fn shares(&self) -> [f64; MEMBERS] {
+        std::array::from_fn(|place| self.share(|_, member| member == place))
+    }
+}
+
+fn id(member: usize) -> MemberId {
+    MemberId(member as u64 + 1)
+}
+
+fn same_centre(entry: usize, member: usize) -> bool {
+    entry / CENTRE == member / CENTRE
+}
+
+// Every process of a wide deployment is an entry and has an upstream beside it. Each request went to one of
+// all members alike, so seven of eight needed a second process and its answer crossed data centres, while
+// the entry's own upstream had room.
+#[test]
+fn a_request_stays_where_there_is_room() {
+    let mut mesh = Mesh::new();
+    mesh.play(10_000, [2; MEMBERS]);
+    let stays = mesh.share(|entry, member| entry == member);
+    assert!(stays > 0.9, "{stays}");
+}
+
+// All callers come to one entry, with more than its upstream can carry but less than all can. What has no
+// room at home goes to the neighbour, and what has none there to everybody, about as evenly as if nothing
+// were preferred.
+#[test]
+fn callers_of_one_entry_spread_over_all() {
+    let mut rates = [0; MEMBERS];
+    rates[0] = 30;
+    let mut most = [0; 2];
+    for near in [false, true] {
+        let mut mesh = Mesh { near, ..Mesh::new() };
+        mesh.play(1_000, rates);
+        mesh.play(10_000, rates);
+        let shares = mesh.shares();
+        println!("near {near}: {shares:?}, most {:?}", mesh.most);
+        assert!(shares.iter().all(|share| *share > 0.08 && *share < 0.2), "{shares:?}");
+        most[usize::from(near)] = mesh.most.into_iter().max().unwrap();
+    }
+    assert!(most[1] <= most[0] + 3, "{most:?}");
+}
+
+// The upstream beside an entry turns ten times slower and has room all the while. It gets less, and its share
+// again once it is fast.
+#[test]
+fn a_slow_own_upstream_gets_less() {
+    let mut mesh = Mesh::new();
+    mesh.play(5_000, [2; MEMBERS]);
+    mesh.speeds[0] = 200;
+    mesh.play(3_000, [2; MEMBERS]);
+    mesh.play(10_000, [2; MEMBERS]);
+    let slow = mesh.share(|_, member| member == 0);
+    assert!(slow > 0.0 && slow < 0.06, "{slow}");
+    mesh.speeds[0] = 20;
+    mesh.play(20_000, [2; MEMBERS]);
+    mesh.play(5_000, [2; MEMBERS]);
+    let again = mesh.share(|_, member| member == 0);
+    assert!(again > 0.1, "{again}");
+}
+
+// The own upstream sheds load, fails, or has no place left: the request goes to the neighbour. Both are full:
+// it goes to another data centre, and so it does when a member there has more room than one that is half full.
+#[test]
+fn a_near_member_that_cannot_take_it_is_passed_by() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let all = [id(0), id(1), id(2)];
+    let own = |busy, capacity| Some(Own { member: id(0), busy, capacity });
+    let mut choice = Choice::new(ChoiceSettings::default());
+    let mut choose = |choice: &Choice, own, exclude: &[MemberId]| {
+        let near = Near { own, others: &all[..2] };
+        choice.choose_near(Time::ZERO, &mut rng, near, &all, exclude).unwrap()
+    };
+    assert_eq!(choose(&choice, own(0, SLOTS), &[]), id(0));
+    assert_eq!(choose(&choice, own(0, SLOTS), &[id(0)]), id(1));
+    assert_eq!(choose(&choice, own(0, 0), &[id(0)]), id(1));
+    choice.sent(Time::ZERO, id(0));
+    choice.done(Time::ZERO, id(0), Sent::Failed);
+    assert_eq!(choose(&choice, own(0, SLOTS), &[]), id(1));
+    choice.report(Time::ZERO, id(1), 7, SLOTS);
+    choice.report(Time::ZERO, id(2), 8, SLOTS);
+    assert_eq!(choose(&choice, own(0, SLOTS), &[]), id(1));
+    choice.report(Time::ZERO, id(2), 2, SLOTS);
+    assert_eq!(choose(&choice, own(0, SLOTS), &[]), id(2));
+    choice.report(Time::ZERO, id(1), SLOTS, SLOTS);
+    choice.report(Time::ZERO, id(2), SLOTS - 1, SLOTS);
+    assert_eq!(choose(&choice, own(0, SLOTS), &[]), id(2));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// However callers are spread, half of what all can carry overloads no upstream for long, and more
+    /// stays in its data centre than without the preference.
+    #[test]
+    fn uneven_callers_overload_nobody(weights in proptest::array::uniform8(0_u32..20)) {
+        let total: u32 = weights.iter().sum();
+        prop_assume!(total > 0);
+        // Twenty requests in ten milliseconds are half of eighty slots of twenty milliseconds.
+        let rates = weights.map(|weight| weight * 20 / total);
+        prop_assume!(rates.iter().sum::<u32>() > 10);
+        let mut stay = [0.0; 2];
+        for near in [false, true] {
+            let mut mesh = Mesh { near, ..Mesh::new() };
+            mesh.play(2_000, rates);
+            mesh.play(4_000, rates);
+            prop_assert!(mesh.most.iter().all(|most| *most <= SLOTS * 2), "{:?}", mesh.most);
+            stay[usize::from(near)] = mesh.share(same_centre);
+        }
+        prop_assert!(stay[1] > stay[0], "{stay:?}");
+    }
+}
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use acaciaring_core::choice::Sent;
+use acaciaring_core::choice::{Near, Own, Sent};
 use acaciaring_core::retry::{Failure, RetryDecision};
-use acaciaring_core::state::Member;
 use acaciaring_core::{MemberId, Reason, Refusal, Time, Verdict};
 use acaciaring_schema::peer::Answer;
 use tokio::time::sleep;
@@ -16,6 +15,15 @@
 use crate::peer::Pending;
 use crate::view::View;
 
+/// Members that may take a request.
+struct Candidates {
+    all: Vec<MemberId>,
+    /// This process's own, if it is one of them.
+    own: Option<MemberId>,
+    /// Those of this data centre, this process's own among them.
+    near: Vec<MemberId>,
+}
+
 /// Progress of one request.
 #[derive(Default, Clone)]
 struct Progress {
@@ -37,14 +45,15 @@
     async fn tries(&self, plan: &Plan, mut progress: Progress) -> Result<Answer, Refusal> {
         loop {
             let view = self.shared.view();
-            let mut candidates = members(&view, plan);
+            let mut candidates = Candidates::find(&view, plan);
             let now = clock::now();
-            let full = self.retain_open(now, plan, &mut candidates, &progress.tried);
+            let full = self.retain_open(now, plan, &mut candidates.all, &progress.tried);
+            candidates.keep_open();
             let refusal = if let Some(refusal) = full {
                 refusal
             } else {
                 let Some(target) = self.choose(now, &candidates, &progress.tried) else {
-                    return Err(progress.settle(self.none(now, &candidates)));
+                    return Err(progress.settle(self.none(now, &candidates.all)));
                 };
                 progress.tried.push(target);
                 let ended = match self.timed(plan, &view, target).await {
@@ -97,8 +106,13 @@
     }
 
     /// Chooses a member not tried yet, or one tried before when there is no other.
-    fn choose(&self, now: Time, candidates: &[MemberId], tried: &[MemberId]) -> Option<MemberId> {
-        self.choice.lock().choose(now, &mut rand::rng(), candidates, tried)
+    fn choose(&self, now: Time, candidates: &Candidates, tried: &[MemberId]) -> Option<MemberId> {
+        let own = candidates.own.map(|member| {
+            let (busy, capacity) = self.gate.load();
+            Own { member, busy, capacity }
+        });
+        let near = Near { own, others: &candidates.near };
+        self.choice.lock().choose_near(now, &mut rand::rng(), near, &candidates.all, tried)
     }
 
     /// Returns the refusal of a request for which there is no member.
@@ -113,7 +127,7 @@
     fn again(
         &self,
         plan: &Plan,
-        candidates: &[MemberId],
+        candidates: &Candidates,
         refusal: Refusal,
         progress: &mut Progress,
     ) -> Option<Duration> {
@@ -217,11 +231,25 @@
     }
 }
 
-fn members(view: &View, plan: &Plan) -> Vec<MemberId> {
-    let members = view.state.members_of(&plan.route.workspace);
-    members.filter(|member| member.alive()).map(id).collect()
-}
+impl Candidates {
+    /// Finds the members whose upstream serves the workspace.
+    fn find(view: &View, plan: &Plan) -> Self {
+        let place = view.me.and_then(|me| view.state.member(me)).map(|me| &me.data_centre);
+        let (mut all, mut near) = (Vec::new(), Vec::new());
+        let members = view.state.members_of(&plan.route.workspace);
+        for member in members.filter(|member| member.alive()) {
+            all.push(member.id);
+            if Some(&member.data_centre) == place {
+                near.push(member.id);
+            }
+        }
+        let own = view.me.filter(|me| !view.closed && near.contains(me));
+        Self { all, own, near }
+    }
 
-fn id(member: &Member) -> MemberId {
-    member.id
+    /// Leaves out of those that are near what was taken out of all.
+    fn keep_open(&mut self) {
+        self.near.retain(|id| self.all.contains(id));
+        self.own = self.own.filter(|own| self.near.contains(own));
+    }
 }
