Ask a member again only under another assignment, or after a pause that grows

What callers saw: on a wide deployment whose small machines lose leases, requests for units without server were refused after 150 ms and five tries in the median, up to 15. Each try is a way to a member that had just said that it is not the owner, and takes processor time that members need to serve again.

Cause: the search slept 10 ms (50 ms once it is long) and asked the same member again, whatever it had said. Two members that lag and name each other sent a request to and fro without any pause.

Change: a search remembers whom it has asked and under which version of the assignment. It asks again at once when the assignment changes, else after 25 ms, doubled up to 200 ms; it sleeps on changes of what this member knows. A hint to a member that was just asked is left out. A wait for a move that is under way stays with the owner, which holds requests itself.

--- a/acaciaringd/src/router/keyed.rs
+++ b/acaciaringd/src/router/keyed.rs
@@ -9,6 +9,7 @@
 use acaciaring_schema::peer::Answer;
 use tokio::time::sleep;
 
+use super::asked::Asked;
 use super::outcome::LOST;
 use super::{COME_BACK, Plan, Router, Silence, Try};
 use crate::clock;
@@ -26,12 +27,6 @@
 /// request waited; those beyond the bound are told when to come back.
 const LONG_PATIENCE: Duration = Duration::from_millis(2500);
 
-/// Pause between two tries that found no server for the key.
-const PAUSE: Duration = Duration::from_millis(10);
-
-/// The same once the search has become long.
-const LONG_PAUSE: Duration = Duration::from_millis(50);
-
 /// Progress of one request.
 struct Search {
     /// Time up to which every request may search.
@@ -45,6 +40,7 @@
     lost: bool,
     /// Tries that an upstream has seen or may have seen, and that may be repeated.
     repeats: u32,
+    asked: Asked,
 }
 
 /// What a search has come to after a try.
@@ -68,6 +64,7 @@
             last: Refusal::not_run(Reason::Unreachable).after(COME_BACK),
             lost: false,
             repeats: 0,
+            asked: Asked::default(),
         };
         self.seek(plan, search).await
     }
@@ -94,8 +91,9 @@
                 return Err(search.give_up());
             }
             if search.hint.is_none() {
-                let pause = if place.is_some() { LONG_PAUSE } else { PAUSE };
-                sleep(pause).await;
+                let end = if place.is_some() { search.end } else { search.soon };
+                // What has changed may name another member, or let one be asked again.
+                self.shared.changed(search.asked.pause(now).min(end.since(now))).await;
             }
         }
     }
@@ -125,7 +123,13 @@
     /// Makes one try, if there is a member to try; an error is the final answer.
     async fn search(&self, plan: &Plan, search: &mut Search) -> Result<Step, Refusal> {
         let view = self.shared.view();
-        let Some(target) = self.target(&view, plan, search) else { return Ok(Step::Missed) };
+        let version = assignment(&view, plan).map(|assignment| assignment.version);
+        let target = self.target(&view, plan, search);
+        let target = target.filter(|target| search.asked.may(clock::now(), *target, version));
+        let Some(target) = target else {
+            search.hint = None;
+            return Ok(Step::Missed);
+        };
         if let Some(refusal) = self.refuse_full(clock::now(), plan, target) {
             return Err(search.settle(refusal));
         }
@@ -154,6 +158,7 @@
                 self.suspects.clear(target);
                 self.note_full(plan, target, refusal);
                 search.refused(plan, refusal)?;
+                search.asked.note(clock::now(), target, version);
                 if refusal.verdict == Verdict::Unknown || refusal.reason == Reason::Shed {
                     self.repeat(plan, search, refusal).await?;
                 }
@@ -162,14 +167,19 @@
                     // A member that stops while the log is down has released to the standby.
                     self.suspects.add(now, target);
                 }
-                let known =
-                    |owner: &MemberId| *owner == target || self.suspects.contains(now, *owner);
+                let known = |owner: &MemberId| {
+                    self.suspects.contains(now, *owner) || !search.asked.may(now, *owner, version)
+                };
                 search.hint =
                     owner.filter(|owner| refusal.reason == Reason::NotOwner && !known(owner));
             }
-            Try::Undelivered => self.suspects.add(clock::now(), target),
+            Try::Undelivered => {
+                self.suspects.add(clock::now(), target);
+                search.asked.note(clock::now(), target, version);
+            }
             Try::Lost => {
                 self.suspects.add(clock::now(), target);
+                search.asked.note(clock::now(), target, version);
                 search.lose(LOST);
                 self.repeat(plan, search, LOST).await?;
             }
@@ -271,6 +281,7 @@
     fn prolong(&mut self, plan: &Plan) {
         self.soon = plan.deadline.min(clock::now() + PATIENCE);
         self.end = self.end.max(self.soon);
+        self.asked.clear();
     }
 
     /// Decides after a refusal; an error is the final answer.
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -1,5 +1,6 @@
 //! Entry: finds the route and the owner of a caller's request, and brings the answer back.
 
+mod asked;
 mod budgets;
 mod keyed;
 mod lingerers;
