Read the log at a pace that all members share, and at once where something waits

Cause: each record ends the waiting read of each member, so calls grow with members times records.

After a read a member now rests for its share of a second by log.rate (200 reads a second of all together: 50 ms with 10 members, 330 ms with 66, one second at most), and reads together what came meanwhile. It does not rest where something in it waits for a record: its own append, whose answer says where the record stands, or whose answer was lost; a release, renewal or vote that names a version it has not read; a certificate it does not know; a lessor that refuses it. Asking members that are ahead waits for the rest on top of its 300 ms.

The bound holds whatever the count of members, since the rest grows with it. Nothing that decides on ownership changes: a member that reads later is one that lags, which it could be before.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lag;
 pub mod lease;
 pub mod orders;
+pub mod pace;
 pub mod retry;
 pub mod rights;
 pub mod route;
--- a/acaciaringd/src/appender.rs
+++ b/acaciaringd/src/appender.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use acaciaring_core::Offset;
 use acaciaring_schema::log::Record;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use parking_lot::Mutex;
@@ -14,6 +15,7 @@
 use crate::backoff::Backoff;
 use crate::platform::{AppendError, LogService};
 use crate::vital;
+use crate::wanted::Wanted;
 
 /// Identity of a record, the same over all tries of its append.
 pub(crate) type RecordId = [u8; 16];
@@ -33,8 +35,8 @@
 /// What came of an append, as far as it is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Appended {
-    /// The record is in the log.
-    Yes,
+    /// The record is in the log, at this offset.
+    Yes(Offset),
     /// The record was surely not appended.
     No,
     /// The record may have been appended.
@@ -70,10 +72,11 @@
 
 impl Appender {
     /// Starts the thread.
-    pub(crate) fn start(log: Arc<dyn LogService>, relay: Relay) -> Self {
+    pub(crate) fn start(log: Arc<dyn LogService>, wanted: Arc<Wanted>, relay: Relay) -> Self {
         let (queue, records) = bounded(QUEUE);
         let open = Open::default();
-        let worker = Worker { queue: queue.clone(), log, relay, records, open: Arc::clone(&open) };
+        let worker =
+            Worker { queue: queue.clone(), log, wanted, relay, records, open: Arc::clone(&open) };
         vital::spawn("appender", move || worker.run());
         Self { queue, open }
     }
@@ -104,6 +107,8 @@
 struct Worker {
     queue: Sender<Record>,
     log: Arc<dyn LogService>,
+    /// Reader of the log, which is to bring back at once what was appended.
+    wanted: Arc<Wanted>,
     relay: Relay,
     records: Receiver<Record>,
     open: Open,
@@ -129,8 +134,10 @@
             let appended = self.attempt(&bytes);
             let refused = appended == Appended::No;
             self.note(record, if refused { Tries::Refused } else { Tries::Doubtful });
-            if appended == Appended::Yes {
-                return;
+            match appended {
+                Appended::Yes(offset) => return self.wanted.need(offset + 1),
+                Appended::Unknown => self.wanted.ask(),
+                Appended::No => {}
             }
             thread::sleep(backoff.pause());
         }
@@ -144,7 +151,7 @@
         match self.log.append(bytes) {
             Ok(offset) => {
                 debug!(offset, "record appended");
-                Appended::Yes
+                Appended::Yes(offset)
             }
             Err(AppendError::Unknown { .. }) => {
                 debug!("append without answer, trying again with the same id");
--- a/acaciaringd/src/control/catch_up.rs
+++ b/acaciaringd/src/control/catch_up.rs
@@ -11,7 +11,7 @@
 use super::{Control, Event};
 use crate::wire;
 
-/// Time for which the log service itself may bring the records.
+/// Time for which the log service itself may bring the records, beyond the rest between two reads.
 const GRACE: Duration = Duration::from_millis(300);
 
 /// Time between two questions for the declared configuration.
@@ -21,6 +21,15 @@
 const LIMIT: u32 = 512;
 
 impl Control {
+    /// Has the log read up to a record that a message of another member depends on.
+    ///
+    /// Without it what the message brings would wait for the pace of the reads.
+    pub(super) fn depend(&self, record: Offset) {
+        if record >= self.state.next() {
+            self.parts.wanted.need(record.saturating_add(1));
+        }
+    }
+
     /// Asks a member for records that it has folded and this one has not.
     ///
     /// Guards against a read of the log that has gone silent while another one
@@ -28,8 +37,9 @@
     /// Records carry their offsets, so a gap is seen and never skipped.
     pub(super) fn catch_up(&mut self, now: Time, from: SocketAddr, applied: Offset) {
         let next = self.state.next();
+        let grace = GRACE + self.parts.wanted.rest();
         let quiet =
-            now.since(self.progress.folded) >= GRACE && now.since(self.progress.asked) >= GRACE;
+            now.since(self.progress.folded) >= grace && now.since(self.progress.asked) >= GRACE;
         if applied <= next || !quiet {
             return;
         }
--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -2,7 +2,6 @@
 
 use std::mem;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use acaciaring_core::Time;
 use acaciaring_core::state::{Folded, ReplicaError};
@@ -40,8 +39,9 @@
             }
             Err(error) => error!(%error, "the log cannot be folded"),
         }
-        self.parts.wanted.store(self.replica.wanted(), Ordering::Release);
         let state = self.replica.state();
+        let members = state.members().filter(|member| member.alive()).count();
+        self.parts.wanted.folded(self.replica.wanted(), batch.next, members);
         // The first member of a new system finds no record; it would wait for one for ever.
         self.progress.caught |= state.next().max(1) >= batch.next;
         if state.next() != before {
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -200,6 +200,7 @@
 
     /// Takes in a release by another member, with what it remembers of the units.
     pub(super) fn on_release(&mut self, release: &Release) {
+        self.depend(release.units.iter().map(|unit| unit.version).max().unwrap_or(0));
         let Some(identity) = &mut self.identity else { return };
         let from = MemberId(release.member);
         let workspace = Name::from(release.workspace.as_str());
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -104,6 +104,7 @@
     fn on_renew(&mut self, now: Time, from: SocketAddr, renew: &Renew) {
         self.catch_up(now, from, renew.applied);
         self.follow(now, from, renew.declared);
+        self.depend(renew.version);
         let Some(identity) = &mut self.identity else { return };
         if renew.lessor != identity.me.0 {
             return;
@@ -136,6 +137,10 @@
         }
         let lessor = MemberId(grant.lessor);
         identity.holder.granted(now, lessor, grant.seq, grant.granted, grant.version);
+        if !grant.granted {
+            // The log may have ended this identity.
+            self.parts.wanted.need(grant.applied);
+        }
         // New lessors are ready while their grants are newer than those of the present ones,
         // which the next round of duties may miss each time.
         let preparing = identity.holder.preparing() && identity.retiring.is_none();
@@ -219,6 +224,7 @@
 
     /// Takes in a vote of another lessor.
     pub(super) fn vote(&mut self, vote: log::Vote) {
+        self.depend(vote.version);
         let Some(identity) = &mut self.identity else { return };
         if vote.member == identity.me.0 {
             info!(lessor = vote.lessor, "a lessor has voted on this member");
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -61,11 +61,11 @@
 use crate::outbox::Outbox;
 use crate::peer::Transport;
 use crate::platform::LogService;
-use crate::reader::Wanted;
 use crate::recent::Recent;
 use crate::upstream::Outlet;
 use crate::view::{Link, Shared, View};
 use crate::vital;
+use crate::wanted::Wanted;
 
 /// Longest time between two rounds of the control thread.
 const ROUND: Duration = Duration::from_millis(50);
@@ -109,7 +109,7 @@
     pub(crate) outbox: Outbox,
     pub(crate) appender: Appender,
     pub(crate) recent: Arc<Recent>,
-    pub(crate) wanted: Wanted,
+    pub(crate) wanted: Arc<Wanted>,
     pub(crate) events: Sender<Event>,
     pub(crate) metrics: Metrics,
     /// Log service, for the records that a snapshot covers.
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -8,7 +8,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -40,6 +39,7 @@
 use crate::recent::Recent;
 use crate::router::{Lingerers, Outages, Router, Shares, Spans, Suspects};
 use crate::view::Shared;
+use crate::wanted::Wanted;
 use crate::web::{self, WebError};
 
 /// One in this many requests in hand may wait for a takeover.
@@ -187,7 +187,8 @@
         };
         let doors = edges.open(inside).context(EdgeSnafu)?;
 
-        let wanted = Arc::new(AtomicU64::new(1));
+        let wanted = wanted(settings, &transport);
+        let (reads, appends) = relay::relays(&shared, &transport);
         let (releasing, released) = bounded(1);
         let parts = Parts {
             place: options::place(
@@ -205,7 +206,7 @@
             gate,
             transport: transport.clone(),
             outbox,
-            appender: Appender::start(Arc::clone(&log), relay::append_relay(&shared, &transport)),
+            appender: Appender::start(Arc::clone(&log), Arc::clone(&wanted), appends),
             recent,
             wanted: Arc::clone(&wanted),
             events: events.clone(),
@@ -216,8 +217,7 @@
             upstream: settings.upstream.clone(),
         };
         gauges::start(&parts.shared, &parts.gate, metrics);
-        let wait = settings.log.wait;
-        reader::start(log, wait, relay::read_relay(&shared, &transport), wanted, events.clone());
+        reader::start(log, settings.log.wait, reads, wanted, events.clone());
         let control = Control::start(parts, inbox);
         info!(http = %doors.callers(), peer = %transport.local_addr(), admin = %doors.admin(), "started");
         let drain = settings.limits.drain;
@@ -272,3 +272,12 @@
     let site = Arc::new(MetricsSite(metrics.clone()));
     web::Server::start(transport.runtime(), address, site).context(PageSnafu)
 }
+
+/// Returns what is wanted of the log, with the pace of reads.
+fn wanted(settings: &Settings, transport: &Transport) -> Arc<Wanted> {
+    let wanted = Arc::new(Wanted::new(settings.log.rate.min(settings.log.reads)));
+    // Who is refused may have joined by a record that was not read here yet.
+    let asked = Arc::clone(&wanted);
+    transport.on_refused(move || asked.ask());
+    wanted
+}
--- a/acaciaringd/src/daemon/relay.rs
+++ b/acaciaringd/src/daemon/relay.rs
@@ -13,14 +13,24 @@
 use crate::view::{Shared, View, peer_address};
 use crate::wire;
 
+/// Returns what reads and what appends through another member.
+pub(super) fn relays(
+    shared: &Arc<Shared>,
+    transport: &Transport,
+) -> (reader::Relay, appender::Relay) {
+    (read_relay(shared, transport), append_relay(shared, transport))
+}
+
 /// Appends through another member that is alive.
-pub(super) fn append_relay(shared: &Arc<Shared>, transport: &Transport) -> appender::Relay {
+fn append_relay(shared: &Arc<Shared>, transport: &Transport) -> appender::Relay {
     let (shared, transport) = (Arc::clone(shared), transport.clone());
     Box::new(move |record| {
         let Some(to) = shared.view().other(clock::now()) else { return Appended::No };
         let append = call::Body::Append(Append { record: record.to_vec() });
         match transport.blocking_call(to, append, wire::CALL) {
-            Ok(reply::Body::Appended(appended)) if appended.offset > 0 => Appended::Yes,
+            Ok(reply::Body::Appended(appended)) if appended.offset > 0 => {
+                Appended::Yes(appended.offset)
+            }
             Ok(reply::Body::Done(_)) => Appended::No,
             Err(error) if !error.may_have_run() => Appended::No,
             Ok(_) | Err(_) => Appended::Unknown,
@@ -29,7 +39,7 @@
 }
 
 /// Reads records from another member that is alive.
-pub(super) fn read_relay(shared: &Arc<Shared>, transport: &Transport) -> reader::Relay {
+fn read_relay(shared: &Arc<Shared>, transport: &Transport) -> reader::Relay {
     let (shared, transport) = (Arc::clone(shared), transport.clone());
     Box::new(move |from, max| {
         let to = shared.view().other(clock::now())?;
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod upstream;
 mod view;
 mod vital;
+mod wanted;
 pub mod web;
 mod wire;
 
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -279,6 +279,11 @@
         self.inner.shared.trusted.set(prints);
     }
 
+    /// Sets once what is called, at the handshake, when a certificate is not accepted.
+    pub fn on_refused(&self, refused: impl Fn() + Send + Sync + 'static) {
+        self.inner.shared.trusted.on_refused(Box::new(refused));
+    }
+
     /// Returns the bytes moved so far.
     #[must_use]
     pub fn traffic(&self) -> Traffic {
--- a/acaciaringd/src/peer/trust.rs
+++ b/acaciaringd/src/peer/trust.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashSet;
 use std::fmt::{self, Debug, Formatter};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use parking_lot::RwLock;
 use ring::digest::{SHA256, digest};
@@ -32,21 +32,42 @@
     print
 }
 
+/// Called when a certificate is not accepted.
+type Refused = Box<dyn Fn() + Send + Sync>;
+
 /// Digests of the certificates that are accepted.
-#[derive(Debug, Default)]
-pub(super) struct Trusted(RwLock<HashSet<Fingerprint>>);
+#[derive(Default)]
+pub(super) struct Trusted {
+    prints: RwLock<HashSet<Fingerprint>>,
+    refused: OnceLock<Refused>,
+}
+
+impl Debug for Trusted {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Trusted").field("prints", &self.prints).finish_non_exhaustive()
+    }
+}
 
 impl Trusted {
     /// Replaces what is accepted; entries of another length are passed over.
     pub(super) fn set<'a>(&self, prints: impl Iterator<Item = &'a [u8]>) {
         let prints = prints.filter_map(|print| Fingerprint::try_from(print).ok()).collect();
-        *self.0.write() = prints;
+        *self.prints.write() = prints;
+    }
+
+    /// Sets once what is called when a certificate is not accepted: it may belong to a member of
+    /// which this one has not read yet.
+    pub(super) fn on_refused(&self, refused: Refused) {
+        let _ = self.refused.set(refused);
     }
 
     fn check(&self, certificate: &CertificateDer<'_>) -> Result<(), Error> {
-        if self.0.read().contains(&fingerprint(certificate)) {
+        if self.prints.read().contains(&fingerprint(certificate)) {
             return Ok(());
         }
+        if let Some(refused) = self.refused.get() {
+            refused();
+        }
         Err(Error::InvalidCertificate(CertificateError::ApplicationVerificationFailure))
     }
 }
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -1,7 +1,6 @@
 //! Thread that reads the control log.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -10,9 +9,11 @@
 use tracing::{info, warn};
 
 use crate::backoff::Backoff;
+use crate::clock;
 use crate::control::Event;
 use crate::platform::LogService;
 use crate::vital;
+use crate::wanted::Wanted;
 
 /// Records in one read.
 const LIMIT: usize = 512;
@@ -32,15 +33,12 @@
 /// Reads records from another member when the log service cannot be reached.
 pub(crate) type Relay = Box<dyn Fn(u64, u32) -> Option<Batch> + Send>;
 
-/// Offset that control wants next, shared with the reader.
-pub(crate) type Wanted = Arc<AtomicU64>;
-
 /// Starts the thread; it sends each batch as an event and ends with the receiver.
 pub(crate) fn start(
     log: Arc<dyn LogService>,
     wait: Duration,
     relay: Relay,
-    wanted: Wanted,
+    wanted: Arc<Wanted>,
     events: Sender<Event>,
 ) {
     let backoff = Backoff::new(PAUSE, LONGEST);
@@ -53,7 +51,7 @@
     /// Time for which a read waits for a new record.
     wait: Duration,
     relay: Relay,
-    wanted: Wanted,
+    wanted: Arc<Wanted>,
     events: Sender<Event>,
     failing: bool,
     /// True once a read has said where the log ends.
@@ -65,11 +63,12 @@
 impl Reader {
     fn run(mut self) {
         loop {
-            let from = self.wanted.load(Ordering::Acquire);
+            let from = self.wanted.wait();
             let Some(batch) = self.read(from) else {
                 thread::sleep(self.backoff.pause());
                 continue;
             };
+            self.wanted.answered(clock::now());
             if !self.deliver(batch) {
                 return;
             }
