--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -29,6 +29,7 @@
         self.parts.recent.keep(batch);
         match self.fold(batch) {
             Ok(folded) => {
+                self.snapshots.note(&folded);
                 for record in folded {
                     let proposal =
                         record.id.and_then(|id| self.proposals.settle(&id, &record.outcome));
--- a/acaciaringd/src/control/snapshot.rs
+++ b/acaciaringd/src/control/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use acaciaring_core::state::Folded;
 use acaciaring_core::state::snapshot::{self, CHUNK_SIZE};
 use acaciaring_core::{Offset, Time};
 use tracing::info;
@@ -24,21 +25,33 @@
     /// End of the newest one, and when it was first seen.
     covered: Offset,
     seen: Time,
-    /// When this member last wrote one.
+    /// When this member last wrote one, and where that ends.
     wrote: Time,
+    own: Offset,
+    /// Empty records behind what the newest one covers.
+    ///
+    /// Who writes a snapshot drops as many records as it covers, by empty ones; were they news, each
+    /// snapshot would soon call for the next.
+    empty: Vec<Offset>,
 }
 
 impl Snapshots {
     /// Begins at `now`, as if a snapshot had just been seen.
     pub(super) fn new(now: Time) -> Self {
-        Self { covered: 0, seen: now, wrote: Time::ZERO }
+        Self { covered: 0, seen: now, wrote: Time::ZERO, own: 0, empty: Vec::new() }
+    }
+
+    /// Notes which of the records are empty.
+    pub(super) fn note(&mut self, folded: &[Folded]) {
+        let empty = folded.iter().filter(|record| record.id.is_none());
+        self.empty.extend(empty.map(|record| record.offset));
     }
 }
 
 impl Control {
     /// Lets the log service drop what this member's own snapshot covers.
-    fn trim(&self, now: Time, covered: Offset) {
-        if self.snapshots.wrote == Time::ZERO || now.since(self.snapshots.wrote) > STAND_IN {
+    fn trim(&self, covered: Offset) {
+        if self.snapshots.own != covered {
             return;
         }
         let log = Arc::clone(&self.parts.log);
@@ -53,18 +66,21 @@
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let newest = self.replica.snapshot_next();
         if newest != self.snapshots.covered {
-            self.trim(now, newest);
+            self.trim(newest);
+            self.snapshots.empty.retain(|offset| *offset >= newest);
             self.snapshots.covered = newest;
             self.snapshots.seen = now;
         }
         let records = self.parts.records.saturating_add(STAGGER * u64::from(rank));
         let age = AGE.saturating_add(STAND_IN.saturating_mul(rank));
-        let due = snapshot::due(self.state.next(), newest, records);
+        let empty = u64::try_from(self.snapshots.empty.len()).unwrap_or(u64::MAX);
+        let due = snapshot::due(self.state.next().saturating_sub(empty), newest, records);
         let aged = self.state.next() > newest && snapshot::aged(now, self.snapshots.seen, age);
         if !due && !aged || now.since(self.snapshots.wrote) < STAND_IN {
             return;
         }
         self.snapshots.wrote = now;
+        self.snapshots.own = self.state.next();
         let chunks = snapshot::chunk(&self.state, rand::random(), CHUNK_SIZE);
         info!(next = self.state.next(), records = chunks.len(), "writing a snapshot");
         self.parts.metrics.count(Counter::LogSnapshots, 1);
