Wait for a silent member also when the log calls it dead

An entry that waited for an answer of a silent member gave it up when the log said that the member was dead. That is no proof that the answer is lost: a process that stood still is evicted and joins anew, or finds its lease voted over, and what its server does goes on. The caller got 502 with seconds left.

Now only the transport decides: another process at the address, a farewell, or the deadline. A request that may be repeated is looked for elsewhere from the silence on, as before.

--- a/acaciaringd/src/router/silence.rs
+++ b/acaciaringd/src/router/silence.rs
@@ -7,16 +7,12 @@
 
 use acaciaring_core::{MemberId, Refusal, Time, Verdict};
 use acaciaring_schema::peer::{Answer, Request};
-use tokio::time::sleep;
 
 use super::outcome::{Try, judge};
 use super::{Router, clock};
 use crate::metrics::Timer;
 use crate::peer::{RequestOutcome, Running};
 
-/// Time between two looks whether the log says that a silent member is dead.
-const LOOK: Duration = Duration::from_millis(100);
-
 /// Try at a member that has gone silent.
 pub(super) struct Silence {
     target: MemberId,
@@ -42,17 +38,14 @@
         }
     }
 
-    /// Waits for a try at a silent member up to its end, or until the log says that the member is dead.
+    /// Waits for a try at a silent member up to its end.
     ///
     /// Guards against a member without processor that is taken for a lost one: its upstream would
-    /// end with a whole answer that nobody takes.
+    /// end with a whole answer that nobody takes. That the log calls the member dead is no
+    /// proof either: its process may go on, and join anew as another.
     pub(super) async fn wait(&self, silence: Silence) -> Try {
         let Silence { target, address, start, running } = silence;
-        let outcome = tokio::select! {
-            biased;
-            outcome = running.end() => outcome,
-            () = self.death(target) => RequestOutcome::Lost,
-        };
+        let outcome = running.end().await;
         let ended = self.ended(address, start, outcome);
         if matches!(ended, Try::Whole(_) | Try::Refused { .. }) {
             self.suspects.clear(target);
@@ -81,12 +74,6 @@
         }
     }
 
-    async fn death(&self, member: MemberId) {
-        while self.shared.view().state.lives(member) {
-            sleep(LOOK).await;
-        }
-    }
-
     fn ended(&self, address: SocketAddr, start: Time, outcome: RequestOutcome) -> Try {
         if let RequestOutcome::Answer(answer) = &outcome {
             self.declarations.heard(address, answer.declared);
