--- a/acaciaringd/tests/peer_connect.rs
+++ b/acaciaringd/tests/peer_connect.rs
@@ -2,6 +2,7 @@
 
 mod peer_support;
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 
@@ -80,3 +81,20 @@
     client.datagrams.recv_timeout(PATIENCE).unwrap();
     assert_eq!(send(), RequestOutcome::Answer(echo(request("a"))));
 }
+
+/// A lessor without processor answered a renewal late, and the next renewals each replaced the
+/// connection: one made an instant ago gave way to another, and each cost the lessor a handshake.
+#[test]
+fn a_datagram_does_not_replace_what_has_just_been_replaced() {
+    let authority = Authority::new();
+    let server = Node::echo(authority.settings());
+    let client = Node::echo(authority.settings());
+    let to = server.transport.local_addr();
+    let from: BTreeSet<_> = (0..6)
+        .map(|_| {
+            client.transport.send(to, &Datagram::default(), true);
+            server.datagrams.recv_timeout(PATIENCE).unwrap().0
+        })
+        .collect();
+    assert!(from.len() <= 2, "{} connections", from.len());
+}
