Do not replace a connection for a renewal that has just replaced one

A renewal that is sent again goes on a new connection, for something in between may have lost track of the old one. A lessor without processor answers late, and each further renewal made it do another handshake. A connection that took the place of another within the last second is now used; the next renewal that is sent again after that replaces it.

--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -46,6 +46,11 @@
         self.doubted.load(Ordering::Relaxed)
     }
 
+    /// Returns the time since the connection was made.
+    pub fn age(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     /// Returns whether the peer was heard within `span`.
     pub fn within(&self, span: Duration) -> bool {
         let millis = self.millis().saturating_sub(self.millis.load(Ordering::Relaxed));
--- a/acaciaringd/src/peer/pool.rs
+++ b/acaciaringd/src/peer/pool.rs
@@ -30,6 +30,11 @@
 /// The same for a message on a stream; after a longer silence a test comes first.
 const REUSED: Duration = Duration::from_secs(15);
 
+/// Age up to which a connection that took the place of another is not replaced for a datagram.
+///
+/// Guards against handshakes with a peer that answers late because it is short of processor.
+const YOUNG: Duration = Duration::from_secs(1);
+
 /// Time for which an address counts as suspect after its last fault.
 const SUSPICION: Duration = Duration::from_mins(1);
 
@@ -94,6 +99,13 @@
         }
     }
 
+    /// Returns the connection on which a datagram goes; `fresh` asks for one in place of the present one.
+    fn pick_for_datagram(&self, fresh: bool) -> Option<&Arc<Link>> {
+        let link = self.pick(0, HEARD)?;
+        let young = self.is_suspect() && link.heard.age() < YOUNG;
+        (!fresh || young).then_some(link)
+    }
+
     fn is_suspect(&self) -> bool {
         self.suspect.is_some_and(|since| since.elapsed() < SUSPICION)
     }
@@ -150,7 +162,7 @@
     pub fn send(&self, shared: &Arc<Shared>, to: SocketAddr, datagram: Bytes, fresh: bool) {
         let mut slots = self.slots.lock();
         let slot = slots.entry(to).or_default();
-        if !fresh && let Some(link) = slot.pick(0, HEARD) {
+        if let Some(link) = slot.pick_for_datagram(fresh) {
             match link.conn.send_datagram(datagram.clone()) {
                 Err(SendDatagramError::ConnectionLost(_)) => {}
                 Err(error) => return warn!(%to, %error, "datagram not sent"),
