Show that each renewal which is answered late costs a new connection

A lessor that takes 400 ms for an answer, with a pause of 200 ms before a renewal is repeated, got a new connection every 0.9 s: 11 in ten seconds, for each holder. Each is a handshake for two processes that lack processor already, and gives up a connection that works, with the requests on it.

A second one, which passes, holds down the other side: a lessor that has fallen silent gets a new connection before the lease is over.

--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -390,3 +390,64 @@
     }
     assert_eq!(holder.silent(), [A, B]);
 }
+
+/// Time for which a lessor without processor keeps its answers, twice the pause before a renewal is repeated.
+const SLOW: u64 = 400;
+
+/// Times of members that give processes a second of patience.
+fn patient() -> LeaseSettings {
+    LeaseSettings {
+        interval: Duration::from_millis(700),
+        resend: Duration::from_millis(200),
+        term: Duration::from_secs(3),
+        ..LeaseSettings::default()
+    }
+}
+
+fn patient_holder() -> Holder {
+    let mut holder = Holder::new(H, ms(0), patient());
+    holder.install(10, &[A], |_| true);
+    holder
+}
+
+// Most members have a tenth of a core, and their answers to renewals wait for it. Each answer that took
+// longer than the pause of a moment meant a new connection, a handshake for both ends, which gave up the
+// one that worked and all that ran on it. So the lessor got slower still: 104 leases were lost in half a
+// minute in which no lessor was, and 22,424 connections were given up.
+#[test]
+fn a_lessor_that_is_slow_to_answer_keeps_its_connection() {
+    let mut holder = patient_holder();
+    let mut answers: Vec<(u64, u64)> = Vec::new();
+    let (mut asked, mut fresh) = (0, Vec::new());
+    for now in 0..10_000 {
+        for renewal in holder.due(ms(now)) {
+            asked += 1;
+            answers.push((now + SLOW, renewal.seq));
+            if renewal.fresh {
+                fresh.push(now);
+            }
+        }
+        answers.retain(|(at, seq)| {
+            if *at == now {
+                holder.granted(ms(now), A, *seq, true, 10);
+            }
+            *at > now
+        });
+        assert!(now < SLOW || holder.holds(ms(now)), "no lease after {now} ms");
+    }
+    assert!(fresh.iter().all(|at| *at < 2 * SLOW), "new connections at {fresh:?}");
+    assert!(asked < 3 + 10_000 / 700, "{asked} renewals");
+}
+
+// The same lessor is then cut off for good. A connection that has died is still to be replaced before the
+// lease is over.
+#[test]
+fn a_slow_lessor_that_falls_silent_is_asked_on_a_new_connection_in_time() {
+    let mut holder = patient_holder();
+    let asked = holder.due(ms(0));
+    holder.granted(ms(SLOW), A, seq_to(&asked, A), true, 10);
+    let until = holder.until().expect("a lease");
+    let mut times = (SLOW..).map(ms).take_while(|now| *now < until);
+    let fresh = times.find(|now| holder.due(*now).iter().any(|renewal| renewal.fresh));
+    assert!(fresh.is_some(), "none before {until:?}");
+}
