Wait for a lessor as long as it usually takes before a renewal counts as lost

What was seen: on a deployment of 66 members, most with a tenth of a core, 104 leases were lost in half a minute in which no lessor was lost, 17 identities joined anew, and units moved each time.

Cause, as far as the test shows it: answers of members without processor come after the fixed 200 ms after which a renewal was repeated, always on a new connection. That is a handshake for both ends about every 0.9 s for each holder and lessor, and the connection that worked was given up with what ran on it. So the lessors, already late, got later.

The holder now remembers how long each lessor takes to answer. A renewal is repeated, and a new connection asked for, only when the answer is overdue by twice that, at most a third of the term, so that a connection which has died is still replaced before the lease is over. With quick lessors all is as before. Only when and on what renewals are sent changes; what is granted and counted does not.

--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -45,6 +45,8 @@
     tries: u32,
     /// Renewals that may still be answered, with the times of sending.
     pending: BTreeMap<u64, Time>,
+    /// Time that the lessor takes for an answer; long ones are forgotten by half with each shorter one.
+    lag: Duration,
     /// Sending time of the latest renewal that was granted.
     latest: Option<Time>,
     /// Highest version that the lessor has stated with a grant.
@@ -60,13 +62,29 @@
 
     /// Returns the time between the last renewal and the next one.
     ///
-    /// A lessor that stays silent is asked soon at first, then at the usual interval.
+    /// A lessor that stays silent is asked soon at first, then at the usual interval. One that is slow
+    /// to answer is waited for.
     fn pause(&self, settings: &LeaseSettings) -> Duration {
         let doublings = match self.tries {
             0 => return settings.interval,
             tries => (tries - 1).min(MAX_DOUBLINGS),
         };
-        settings.interval.min(settings.resend * 2_u32.pow(doublings))
+        settings.interval.min(self.patience(settings).max(settings.resend * 2_u32.pow(doublings)))
+    }
+
+    /// Returns the time after which a renewal counts as lost.
+    ///
+    /// Guards against new connections to a lessor that lacks processor: with a fixed time each late
+    /// answer costs both ends a handshake and the connection that works, and the next one is later.
+    /// A third of the term at most, so that there is time for the new connection.
+    fn patience(&self, settings: &LeaseSettings) -> Duration {
+        settings.resend.max((self.lag * 2).min(settings.term / 3))
+    }
+
+    /// Returns true when the oldest renewal without answer counts as lost.
+    fn is_silent(&self, now: Time, settings: &LeaseSettings) -> bool {
+        let oldest = self.pending.values().next();
+        oldest.is_some_and(|sent| now.since(*sent) >= self.patience(settings))
     }
 }
 
@@ -222,10 +240,10 @@
             if link.due(&settings).is_some_and(|due| now < due) {
                 continue;
             }
+            let fresh = link.tries > 0 && link.is_silent(now, &settings);
             self.seq += 1;
             link.pending.retain(|_, sent| now < *sent + settings.term);
             link.pending.insert(self.seq, now);
-            let fresh = link.tries > 0;
             link.tries = link.tries.saturating_add(1);
             link.sent = Some(now);
             renewals.push(Renewal { lessor: *lessor, seq: self.seq, version, fresh });
@@ -252,7 +270,9 @@
             link.refused = true;
             return;
         }
-        if now < sent + self.settings.term {
+        let lag = now.since(sent);
+        link.lag = lag.max(link.lag / 2);
+        if lag < self.settings.term {
             link.tries = 0;
         }
         link.pending = link.pending.split_off(&seq);
