Show that an answer in a silent connection is given up once it is kept no more

A member keeps an answer for three seconds for those who ask on another connection. A sender that hears nothing for longer is told that there is none, and ends the request as one that may have run, while the answer still stands in the connection on which the request was sent. Found by reading.

--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -15,6 +15,9 @@
 /// Time for which nothing passes, well above that after which a sender has asked on several new connections.
 const CUT: Duration = Duration::from_secs(2);
 
+/// The same, and longer than a receiver keeps an answer for those who ask for it.
+const LONG_CUT: Duration = Duration::from_secs(5);
+
 /// Two members with a forwarder between them and a connection that has worked.
 struct Stage {
     client: Node,
@@ -228,6 +231,25 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
+/// The server has ended with a whole answer while nothing passes, and by the time that something does the member
+/// keeps the answer no more for those who ask: it was told "absent", and the reader got 502. The answer still
+/// stands in the connection on which the request came, and must be taken from there.
+#[test]
+fn answer_that_is_kept_no_more_is_taken_from_its_own_connection() {
+    let stage = Stage::new();
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| stage.request("slow"));
+        stage.started.recv_timeout(PATIENCE).unwrap();
+        thread::sleep(Duration::from_millis(100));
+        stage.forwarder.set_cut(true);
+        stage.go.send(()).unwrap();
+        thread::sleep(LONG_CUT);
+        stage.forwarder.set_cut(false);
+        assert_eq!(waiting.join().unwrap(), answer("slow"));
+    });
+    assert_eq!(stage.server.runs(), 2);
+}
+
 /// The same member had not even read the request. Its sender must not say that it may have run, for nothing
 /// of it got there: either it is known as not run, or it runs once and is answered.
 #[test]
