Go on listening on its own connection for an answer that is kept no more

What callers saw: 502 for a request whose server had ended with a whole answer, after more than three seconds in which nothing was heard of the member.

Cause: asked on another connection, the member said that it keeps no answer for the attempt, and the sender took that for proof. It proves only that the answer is not to be had there: what was written on the connection of the attempt is sent again for as long as that connection stands.

The search now says so, and the sender listens on until the answer comes, the connection ends or the deadline passes. Ruled out: keeping answers for longer, which takes memory that a burst of large answers displaces all the same.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -17,7 +17,7 @@
 use crate::peer::exchange::{self, Sent, abandon, cancel, probe, watched};
 use crate::peer::frame::{self, FrameError, FrameReader};
 use crate::peer::patience;
-use crate::peer::search::{Search, Subject};
+use crate::peer::search::{Found, Search, Subject};
 use crate::peer::transport::Shared;
 
 /// Silent intervals after which a connection with a running request is tested.
@@ -207,7 +207,11 @@
             error if error.refusal().is_some() => RequestOutcome::NotDelivered,
             FrameError::Broken { .. } | FrameError::Ended => {
                 let Self { shared, subject, silence, arrived, sent } = self;
-                Search { shared, subject, silence, arrived, sent: &sent.link }.run().await
+                let search = Search { shared, subject, silence, arrived, sent: &sent.link };
+                match search.run().await {
+                    Found::Outcome(outcome) => outcome,
+                    Found::Forgotten => RequestOutcome::Lost,
+                }
             }
             _ => RequestOutcome::Lost,
         }
@@ -219,9 +223,17 @@
         let Subject { to, attempt, .. } = subject;
         debug!(%to, attempt, arrived, link = sent.link.id, "connection is suspect");
         let search = Search { shared, subject, silence, arrived, sent: &sent.link };
-        let outcome = tokio::select! {
-            Ok(answer) = answer(&mut sent.reader) => RequestOutcome::Answer(answer),
-            outcome = search.run() => outcome,
+        let found = tokio::select! {
+            Ok(answer) = answer(&mut sent.reader) => return RequestOutcome::Answer(answer),
+            found = search.run() => found,
+        };
+        let outcome = match found {
+            Found::Outcome(outcome) => outcome,
+            // Bytes that were lost on the way are sent again for as long as the connection stands.
+            Found::Forgotten => {
+                let answered = answer(&mut sent.reader).await;
+                answered.map_or(RequestOutcome::Lost, RequestOutcome::Answer)
+            }
         };
         if outcome == RequestOutcome::NotDelivered {
             abandon(&mut sent.stream);
--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -50,55 +50,63 @@
     pub sent: &'a Link,
 }
 
+/// What a search has found.
+pub(super) enum Found {
+    /// What became of the attempt.
+    Outcome(RequestOutcome),
+    /// The attempt has ended, and its answer is kept no more: only its own connection can bring it.
+    Forgotten,
+}
+
 /// What a pause has brought.
 enum Sign {
-    Ended(RequestOutcome),
+    Ended(Found),
     Alive,
     Silent,
 }
 
 impl Search<'_> {
-    pub async fn run(mut self) -> RequestOutcome {
+    pub async fn run(mut self) -> Found {
         let mut older = self.sent.id;
         for _ in 0..ASKS {
-            if let Some(outcome) = self.ask_anew(&mut older).await {
-                return outcome;
+            if let Some(found) = self.ask_anew(&mut older).await {
+                return found;
             }
         }
         self.shared.metrics.count(Counter::PeerSilent, 1);
         self.silence.notify_one();
         let mut pause = PAUSE;
         while !self.sent.has_stopped() {
-            let outcome = match self.pause(pause).await {
-                Sign::Ended(outcome) => Some(outcome),
+            let found = match self.pause(pause).await {
+                Sign::Ended(found) => Some(found),
                 Sign::Alive => None,
                 Sign::Silent => self.ask_anew(&mut older).await,
             };
-            if let Some(outcome) = outcome {
-                return outcome;
+            if let Some(found) = found {
+                return found;
             }
             pause = (pause * 2).min(LONGEST);
         }
-        RequestOutcome::Lost
+        Found::Outcome(RequestOutcome::Lost)
     }
 
     /// Asks on a connection that is newer than `older`; `None` when there is none or it does not work.
-    async fn ask_anew(&mut self, older: &mut LinkId) -> Option<RequestOutcome> {
+    async fn ask_anew(&mut self, older: &mut LinkId) -> Option<Found> {
         let link = self.shared.pool.get(self.shared, self.subject.to, *older).await.ok()?;
         *older = link.id;
         if link.process != self.sent.process {
-            return Some(RequestOutcome::Lost);
+            return Some(Found::Outcome(RequestOutcome::Lost));
         }
         if !self.arrived {
             self.shared.metrics.count(Counter::PeerProbes, 1);
             let arrived = probe(self.shared, &link.conn, self.subject.attempt).await?;
             if let Some(outcome) = self.learn(arrived) {
-                return Some(outcome);
+                return Some(Found::Outcome(outcome));
             }
         }
         let fetched = ask(self.shared, &link.conn, self.fetch());
         let reply = watched(self.shared, &link, PATIENCE, fetched).await??;
-        Some(outcome_of(reply))
+        Some(found_in(reply))
     }
 
     /// Waits, and asks on the connection on which the attempt was sent meanwhile.
@@ -114,11 +122,11 @@
             return Sign::Silent;
         };
         if let Some(outcome) = self.learn(arrived) {
-            return Sign::Ended(outcome);
+            return Sign::Ended(Found::Outcome(outcome));
         }
         let fetched = time::timeout_at(end, ask(self.shared, conn, self.fetch())).await;
         match fetched {
-            Ok(Some(reply)) => Sign::Ended(outcome_of(reply)),
+            Ok(Some(reply)) => Sign::Ended(found_in(reply)),
             Ok(None) => {
                 time::sleep_until(end).await;
                 Sign::Silent
@@ -149,10 +157,12 @@
     }
 }
 
-/// Returns what the reply to a fetch says: without an answer there will be none.
-fn outcome_of(reply: reply::Body) -> RequestOutcome {
+/// Returns what the reply to a fetch says.
+fn found_in(reply: reply::Body) -> Found {
     match reply {
-        reply::Body::Fetch(FetchReply { answer: Some(answer) }) => RequestOutcome::Answer(answer),
-        _ => RequestOutcome::Lost,
+        reply::Body::Fetch(FetchReply { answer: Some(answer) }) => {
+            Found::Outcome(RequestOutcome::Answer(answer))
+        }
+        _ => Found::Forgotten,
     }
 }
