Answer questions about attempts while a stop waits to deliver them

A member that stops took no more messages of any kind while it waited for its last answers to be delivered. A sender whose connection had gone silent could not ask for its answer then, and the caller got 502 although the answer was there. Questions about attempts are now answered until the connections close; requests and calls are refused as before.

--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -133,6 +133,7 @@
             return reset(&mut send, error.code());
         }
     };
+    let Some(body) = serve_question(&shared, body, &mut send).await else { return };
     let Some(_held) = shared.desk.take() else { return reset(&mut send, Code::Busy) };
     match body {
         call::Body::Request(mut request) => {
@@ -141,20 +142,33 @@
             let doubtful = (delay >= HELD_UP).then_some(conn);
             serve_request(&shared, request, &mut send, doubtful).await;
         }
+        body => serve_call(&shared, body, &mut send).await,
+    }
+}
+
+/// Answers what a peer asks about an attempt, also while a stop waits; returns any other message.
+///
+/// A stop waits until answers are delivered, and one whose connection has died is asked for on another.
+async fn serve_question(
+    shared: &Shared,
+    body: call::Body,
+    send: &mut SendStream,
+) -> Option<call::Body> {
+    let reply = match body {
         call::Body::Probe(Probe { attempt }) => {
-            let arrived = shared.table.probe(attempt);
-            write_last(&shared, &mut send, reply::Body::Probe(ProbeReply { arrived })).await;
+            reply::Body::Probe(ProbeReply { arrived: shared.table.probe(attempt) })
         }
         call::Body::Fetch(fetch) => {
-            let answer = serve_fetch(&shared, fetch).await;
-            write_last(&shared, &mut send, reply::Body::Fetch(FetchReply { answer })).await;
+            reply::Body::Fetch(FetchReply { answer: serve_fetch(shared, fetch).await })
         }
         call::Body::Cancel(Cancel { attempt }) => {
             shared.table.cancel(attempt);
-            write_last(&shared, &mut send, reply::Body::Done(Done { accepted: true })).await;
+            reply::Body::Done(Done { accepted: true })
         }
-        body => serve_call(&shared, body, &mut send).await,
-    }
+        other => return Some(other),
+    };
+    write_last(shared, send, reply).await;
+    None
 }
 
 /// Takes the time for which a request was held up on its way off what is left of it.
