Bound the wait for the last answers of a stop, for nothing renews the lease in it

Once control has ended, a member that stops waits until its peers have acknowledged what it wrote. One peer without processor, or cut off, held that wait for as long as the bound of the stop allowed, and the lease lapsed in it, with the keys that the server beside the member holds: the next process found them elsewhere or cold. Found by reading; no run has shown it, and there is no test of its own.

A second is enough for an acknowledgement and well below what a hold lasts.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -52,6 +52,9 @@
 /// Lines a second about requests that were answered late, which cost their callers less.
 const LATE_LINES: u32 = 10;
 
+/// Longest wait until peers have the last answers, well below a lease.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
+
 /// Part of the time of a stop in which callers are still taken; the rest is for their requests.
 const TAKING: u32 = 2;
 
@@ -243,9 +246,9 @@
     }
 
     /// Hands everything over, finishes what is in flight and ends; returns how many requests were cut off.
-    #[must_use]
     ///
     /// All of it shares one bound, counted from here.
+    #[must_use]
     pub fn stop(self) -> usize {
         let start = clock::now();
         // Control ends by itself only after a stop.
@@ -257,7 +260,8 @@
         // Control may have ended.
         let _ = self.events.send(Event::CallersGone);
         let _ = self.control.join();
-        let due = self.transport.stop_within(left());
+        // Nothing renews the lease from here on.
+        let due = self.transport.stop_within(left().min(LAST_ANSWERS));
         info!(cut, due, "stopped");
         cut
     }
