Take the refusal of a request that was asked for before it arrived as not delivered

A sender that asks whether an attempt has arrived makes the receiver refuse it from then on. If the attempt arrives right after, its refusal (`superseded`) may be back before the reply to the question, and the caller was refused for good, though nothing ran and another member could take the request.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -11,7 +11,7 @@
 use tracing::{debug, error};
 
 use acaciaring_core::route::Repeat;
-use acaciaring_schema::peer::{Answer, Call, Reply, Request, call, reply};
+use acaciaring_schema::peer::{Answer, Call, Reason, Reply, Request, Verdict, call, reply};
 
 use crate::clock;
 use crate::peer::exchange::{self, Sent, abandon, cancel, probe, watched};
@@ -145,6 +145,15 @@
     }
 }
 
+/// Returns what an answer says of an attempt that was asked for before it arrived.
+///
+/// Guards against a request that is refused for good by its own sender's question: it arrived
+/// after the question and its refusal was back before the reply to that.
+fn taken(answer: Answer) -> RequestOutcome {
+    let refused = answer.verdict() == Verdict::NotRun && answer.reason() == Reason::Superseded;
+    if refused { RequestOutcome::NotDelivered } else { RequestOutcome::Answer(answer) }
+}
+
 /// One attempt that has been sent.
 struct Hop<'a> {
     shared: &'a Arc<Shared>,
@@ -224,16 +233,13 @@
         debug!(%to, attempt, arrived, link = sent.link.id, "connection is suspect");
         let search = Search { shared, subject, silence, arrived, sent: &sent.link };
         let found = tokio::select! {
-            Ok(answer) = answer(&mut sent.reader) => return RequestOutcome::Answer(answer),
+            Ok(answer) = answer(&mut sent.reader) => Found::Outcome(taken(answer)),
             found = search.run() => found,
         };
         let outcome = match found {
             Found::Outcome(outcome) => outcome,
             // Bytes that were lost on the way are sent again for as long as the connection stands.
-            Found::Forgotten => {
-                let answered = answer(&mut sent.reader).await;
-                answered.map_or(RequestOutcome::Lost, RequestOutcome::Answer)
-            }
+            Found::Forgotten => answer(&mut sent.reader).await.map_or(RequestOutcome::Lost, taken),
         };
         if outcome == RequestOutcome::NotDelivered {
             abandon(&mut sent.stream);
