Show that a silent member is asked for one connection after the other

A sender that waits for a silent member tries a new connection after each pause of a quarter of a second to a second. The test counts them over six seconds.

--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -307,3 +307,18 @@
         assert_eq!(waiting.join().unwrap(), answer("slow"));
     });
 }
+
+/// A member has no processor, and a reader waits for it for six seconds. Each handshake costs it what it lacks, so
+/// after the first three it must be asked for few more: with one every second or less, all members together
+/// kept a saturated one from ever catching up.
+#[test]
+fn a_silent_member_is_asked_for_few_connections() {
+    let stage = Stage::new();
+    stage.forwarder.set(Passage::Silent, Passage::Silent);
+    let nobody = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    stage.forwarder.retarget(nobody.local_addr().unwrap());
+    let (to, left) = (stage.forwarder.address, 3 * CUT);
+    let outcome = stage.client.transport.blocking_request(to, request("a"), left);
+    assert_eq!(outcome, RequestOutcome::Lost);
+    assert!(stage.forwarder.flows() <= 6, "{} connections", stage.forwarder.flows());
+}
