Ask a silent member for few connections

A sender that waits for a silent member asked on a new connection after each pause of a quarter of a second to a second. A member without processor is silent for many at once, and each handshake costs it what it lacks.

Now further asks go over the connection on which the attempt was sent, whose packets are repeated anyway; a new one is tried after pauses of a second or more, which double up to two. A connection that something in between lost track of is still found by the first three.

--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -19,14 +19,17 @@
 /// New connections on which a sender asks without a pause, before it calls the member silent.
 const ASKS: usize = 3;
 
-/// First pause before a further ask; it doubles.
+/// First pause between further asks on the connection on which the attempt was sent; it doubles.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause, below the time for which a member keeps an answer.
+const LONGEST: Duration = Duration::from_secs(2);
+
+/// Shortest pause after which a new connection is tried again.
 ///
 /// Guards against a member without processor that is asked for handshakes all the time: they
 /// cost it what it lacks, and it never catches up.
-const PAUSE: Duration = Duration::from_millis(250);
-
-/// Longest pause, well below the time for which a member keeps an answer.
-const LONGEST: Duration = Duration::from_secs(1);
+const REST: Duration = Duration::from_secs(1);
 
 /// Attempt that is searched for.
 pub(super) struct Subject {
@@ -79,8 +82,8 @@
         while !self.sent.has_stopped() {
             let found = match self.pause(pause).await {
                 Sign::Ended(found) => Some(found),
-                Sign::Alive => None,
-                Sign::Silent => self.ask_anew(&mut older).await,
+                Sign::Silent if pause >= REST => self.ask_anew(&mut older).await,
+                Sign::Alive | Sign::Silent => None,
             };
             if let Some(found) = found {
                 return found;
