Show that a process ends with answers to callers that are not yet written

A request counted as in hand until its answer was made. An answer larger than what the socket holds is written as the caller takes it, and a stop did not wait for that: with 16 MiB under way it returned at once.

--- /dev/null
+++ b/acaciaringd/tests/web_stop.rs
@@ -0,0 +1,74 @@
+//! Stops of the listener for callers.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use acaciaringd::peer::Pending;
+use acaciaringd::web::{Response, Server, Site, text};
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::http::request::Parts;
+use tokio::runtime::{Builder, Runtime};
+
+/// Bound of a stop on any machine that works.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Size of an answer that no socket holds whole.
+const SIZE: usize = 16 << 20;
+
+/// Site whose answers are large.
+struct Large;
+
+impl Site for Large {
+    fn answer(&self, _head: Parts, _body: Bytes) -> Pending<'_, Response> {
+        Box::pin(async { text(StatusCode::OK, vec![b'x'; SIZE]) })
+    }
+}
+
+fn start() -> (Runtime, Server) {
+    let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = Server::start(runtime.handle(), address, Arc::new(Large)).expect("it listens");
+    (runtime, server)
+}
+
+/// A process is told to stop while a clerk on a slow line fetches a large list. The answer was made, so
+/// nothing counted as in hand any more; the process ended and half of the list never arrived.
+#[test]
+fn a_stop_waits_until_answers_are_written() {
+    let (_runtime, server) = start();
+    let mut caller = TcpStream::connect(server.local_addr()).expect("connect");
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("write");
+    caller.peek(&mut [0]).expect("the answer has begun");
+    thread::scope(|scope| {
+        let drain = scope.spawn(|| server.drain(PATIENCE));
+        thread::sleep(Duration::from_millis(300));
+        assert!(!drain.is_finished(), "the process would end with {SIZE} bytes under way");
+        let mut answer = Vec::new();
+        caller.read_to_end(&mut answer).expect("the whole answer, then the end");
+        assert!(answer.len() > SIZE);
+        assert_eq!(drain.join().expect("it ends"), 0);
+    });
+}
+
+/// Callers keep connections open without a request on them; a stop does not wait for these.
+#[test]
+fn a_stop_waits_for_no_idle_connection() {
+    let (_runtime, server) = start();
+    let unused = TcpStream::connect(server.local_addr()).expect("connect");
+    let mut idle = TcpStream::connect(server.local_addr()).expect("connect");
+    idle.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("write");
+    let mut left = SIZE;
+    let mut buffer = vec![0; 1 << 16];
+    while left > 0 {
+        left = left.saturating_sub(idle.read(&mut buffer).expect("the answer"));
+    }
+    let start = Instant::now();
+    assert_eq!(server.drain(PATIENCE), 0);
+    assert!(start.elapsed() < PATIENCE / 2, "{:?}", start.elapsed());
+    drop((unused, idle));
+}
