Let a stop wait until answers are written to callers

A caller on a slow line got half of an answer around a planned stop: what the process has not written when it ends is lost. A stop of the listener now waits for the end of its connections, which comes at once for those without a request and after the whole answer for others, within the one bound of a stop.

--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -119,6 +119,7 @@
     address: SocketAddr,
     phase: watch::Sender<Phase>,
     requests: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -139,10 +140,11 @@
         let _entered = runtime.enter();
         let listener = TcpListener::from_std(socket).map_err(failed)?;
         let (phase, watched) = watch::channel(Phase::Open);
-        let requests = Arc::new(AtomicUsize::new(0));
-        let desk = Arc::new(Desk { site, requests: Arc::clone(&requests) });
+        let (requests, connections) = (Arc::default(), Arc::default());
+        let open = Arc::clone(&connections);
+        let desk = Arc::new(Desk { site, requests: Arc::clone(&requests), connections: open });
         runtime.spawn(accept(listener, desk, watched));
-        Ok(Self { address, phase, requests })
+        Ok(Self { address, phase, requests, connections })
     }
 
     /// Returns the address that it listens on.
@@ -153,16 +155,16 @@
 
     /// Stops to accept and waits for the requests in hand, at most `bound`; returns how many are left.
     ///
-    /// Connections end after the request in hand, at once where there is none.
+    /// Connections end after the request in hand, at once where there is none. The wait is for their
+    /// end: what is not yet written when the process ends is lost.
     #[must_use]
     pub fn drain(&self, bound: Duration) -> usize {
         self.phase.send_replace(Phase::Closing);
         let start = std::time::Instant::now();
         loop {
             std::thread::sleep(STEP);
-            let left = self.requests.load(Ordering::Acquire);
-            if left == 0 || start.elapsed() >= bound {
-                return left;
+            if self.connections.load(Ordering::Acquire) == 0 || start.elapsed() >= bound {
+                return self.requests.load(Ordering::Acquire);
             }
         }
     }
@@ -171,6 +173,7 @@
 struct Desk {
     site: Arc<dyn Site>,
     requests: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
 }
 
 async fn accept(listener: TcpListener, desk: Arc<Desk>, mut phase: watch::Receiver<Phase>) {
@@ -181,7 +184,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, Arc::clone(&desk), phase.clone()));
+                // Counted before its task runs, so that a stop misses none.
+                let open = Open::new(&desk.connections);
+                let served = serve(stream, Arc::clone(&desk), phase.clone());
+                tokio::spawn(async move {
+                    served.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 warn!(%error, "cannot accept a connection");
@@ -224,6 +233,22 @@
     }
 }
 
+/// Open connection; ends when dropped.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(connections: &Arc<AtomicUsize>) -> Self {
+        connections.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(connections))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Request in hand; ends when dropped.
 struct Turn {
     requests: Arc<AtomicUsize>,
