--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -261,8 +261,7 @@
     ///
     /// It waits for a small part of the time in which it is of use. Guards against a request that
     /// is passed by new ones for as long as the load lasts: its caller would wait to the end for
-    /// nothing, and could have come back meanwhile. With an eighth in place of a half, the worth of
-    /// three days above capacity rose from 0.05, 0.18 and 0.36 to 0.25, 0.38 and 0.40.
+    /// nothing, and could have come back meanwhile.
     fn push_late(&mut self, now: Time, ticket: Ticket, item: T) {
         let passes = self.running.values().any(|rank| self.passes(ticket.rank, *rank));
         let part = if passes { PASSING_PART } else { LATE_PART };
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -44,8 +44,7 @@
     /// It is more important and so short that the other is hardly delayed. Guards against calls of
     /// running requests that are refused behind long reads: late by their own aim they are as good as in
     /// time, without them the requests that make them fail, and the slot time that these took is lost.
-    /// On a day with one of three upstreams left 1,392 tries ended so, with this 275. Among requests of
-    /// like length a late one is worth less than one in time.
+    /// Among requests of like length a late one is worth less than one in time.
     pub(super) fn passes(&self, rank: Rank, other: Rank) -> bool {
         rank < other && self.times.mean(rank) * SHORTER <= self.times.mean(other)
     }
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -23,9 +23,7 @@
 
 /// Longest term of a lease where upstreams are told by calls what to hold.
 ///
-/// With it and the times that follow, in place of 3 s, the days of one deployment were worth 0.417 in the
-/// mean in place of 0.376 without the charge for processor time, most on a day that loses three of eight
-/// VMs (0.402 of 0.242). Where reports renew holds the same cost 0.23 of a score.
+/// Calls renew a hold several times within it; a report every second or so may not.
 const CALLED_TERM: Duration = Duration::from_secs(2);
 
 /// Returns the client of the log service.
