Wait for the start of a slow request in one place

Three tests that were added beside an older one repeated its wait until a request runs and its sender knows so, two lines without the reason for the pause. One method of the stage does it now and keeps the reason. No assertion changes; the file passes, 15 of 15, once.

--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -49,6 +49,13 @@
         stage
     }
 
+    /// Waits until a slow request runs and its sender knows that it has arrived.
+    fn wait_for_start(&self) {
+        self.started.recv_timeout(PATIENCE).unwrap();
+        // The acknowledgement passes meanwhile; if it did not, the test would be of silence before it.
+        thread::sleep(Duration::from_millis(100));
+    }
+
     fn request(&self, body: &str) -> RequestOutcome {
         self.client.transport.blocking_request(self.forwarder.address, request(body), PATIENCE)
     }
@@ -113,9 +120,7 @@
     let stage = Stage::new();
     thread::scope(|scope| {
         let waiting = scope.spawn(|| stage.request("slow"));
-        stage.started.recv_timeout(PATIENCE).unwrap();
-        // The acknowledgement passes meanwhile; if it did not, the test would be of silence before it.
-        thread::sleep(Duration::from_millis(100));
+        stage.wait_for_start();
         stage.forwarder.set(Passage::Silent, Passage::Silent);
         wait_for(|| stage.forwarder.flows() == 2);
         stage.go.send(()).unwrap();
@@ -220,8 +225,7 @@
     let stage = Stage::new();
     thread::scope(|scope| {
         let waiting = scope.spawn(|| stage.request("slow"));
-        stage.started.recv_timeout(PATIENCE).unwrap();
-        thread::sleep(Duration::from_millis(100));
+        stage.wait_for_start();
         stage.forwarder.set_cut(true);
         thread::sleep(CUT);
         stage.forwarder.set_cut(false);
@@ -239,8 +243,7 @@
     let stage = Stage::new();
     thread::scope(|scope| {
         let waiting = scope.spawn(|| stage.request("slow"));
-        stage.started.recv_timeout(PATIENCE).unwrap();
-        thread::sleep(Duration::from_millis(100));
+        stage.wait_for_start();
         stage.forwarder.set_cut(true);
         stage.go.send(()).unwrap();
         thread::sleep(LONG_CUT);
@@ -297,8 +300,7 @@
     let stage = Stage::new();
     thread::scope(|scope| {
         let waiting = scope.spawn(|| stage.request("slow"));
-        stage.started.recv_timeout(PATIENCE).unwrap();
-        thread::sleep(Duration::from_millis(100));
+        stage.wait_for_start();
         scope.spawn(|| stage.server.transport.stop_within(PATIENCE / 2));
         stage.forwarder.set(Passage::Silent, Passage::Silent);
         wait_for(|| stage.forwarder.flows() >= 2);
