Say at the end of a connection whether all that was taken has been answered

Cause: a stop refuses what it does not take, waits until its answers are acknowledged, and closes all connections with one code. A request or a refusal that was still in the connection then looks to its sender like work that was cut off.

Ruled out: an answer that has come but is not read when the connection closes; it is read afterwards (a test of its own).

Now the close says which of the two it is. "Settled" is said only if each message that was taken has been settled; a handler of a call that panics leaves its message unsettled. A sender reads what came before the close, then takes the close as a refusal, in every place where it waits for an answer; a connection that ends while it is tested tells by its reply.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -154,6 +154,14 @@
     if refused { RequestOutcome::NotDelivered } else { RequestOutcome::Answer(answer) }
 }
 
+/// Returns the outcome if the stream of an attempt has told it.
+fn known(reply: Result<Answer, FrameError>) -> Option<RequestOutcome> {
+    match reply {
+        Ok(answer) => Some(taken(answer)),
+        Err(error) => error.refusal().map(|_| RequestOutcome::NotDelivered),
+    }
+}
+
 /// One attempt that has been sent.
 struct Hop<'a> {
     shared: &'a Arc<Shared>,
@@ -219,7 +227,7 @@
                 let search = Search { shared, subject, silence, arrived, sent: &sent.link };
                 match search.run().await {
                     Found::Outcome(outcome) => outcome,
-                    Found::Forgotten => RequestOutcome::Lost,
+                    Found::Forgotten | Found::Stopped => RequestOutcome::Lost,
                 }
             }
             _ => RequestOutcome::Lost,
@@ -232,14 +240,20 @@
         let Subject { to, attempt, .. } = subject;
         debug!(%to, attempt, arrived, link = sent.link.id, "connection is suspect");
         let search = Search { shared, subject, silence, arrived, sent: &sent.link };
+        let mut search = pin!(search.run());
         let found = tokio::select! {
-            Ok(answer) = answer(&mut sent.reader) => Found::Outcome(taken(answer)),
-            found = search.run() => found,
+            reply = answer(&mut sent.reader) => match known(reply) {
+                Some(outcome) => Found::Outcome(outcome),
+                None => search.await,
+            },
+            found = &mut search => found,
         };
         let outcome = match found {
             Found::Outcome(outcome) => outcome,
             // Bytes that were lost on the way are sent again for as long as the connection stands.
             Found::Forgotten => answer(&mut sent.reader).await.map_or(RequestOutcome::Lost, taken),
+            // What had come before the end is read before it is told.
+            Found::Stopped => known(answer(&mut sent.reader).await).unwrap_or(RequestOutcome::Lost),
         };
         if outcome == RequestOutcome::NotDelivered {
             abandon(&mut sent.stream);
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -161,7 +161,8 @@
 /// Waits for a reply as long as the connection shows signs of life; `None` when it has gone silent.
 ///
 /// A connection that something in between has lost track of shows no packet at
-/// all, so after `patience` intervals without one it is tested.
+/// all, so after `patience` intervals without one it is tested. One that has ended meanwhile tells
+/// by the reply itself what came before its end, and why it ended.
 pub(super) async fn watched<T>(
     shared: &Shared,
     link: &Link,
@@ -180,7 +181,9 @@
         let alive = received.replace(seen).is_some_and(|before| before != seen);
         quiet = if alive { 0 } else { quiet + 1 };
         if quiet >= patience || link.is_retired() {
-            probe(shared, &link.conn, NO_ATTEMPT).await?;
+            if !answers(shared, &link.conn).await {
+                return if link.is_open() { None } else { Some(reply.await) };
+            }
             quiet = 0;
         }
     }
--- a/acaciaringd/src/peer/frame.rs
+++ b/acaciaringd/src/peer/frame.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::{DecodeError, Message};
-use quinn::{ReadError, RecvStream, VarInt};
+use quinn::{ConnectionError, ReadError, RecvStream, VarInt};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 /// Bytes of the length in front of a message.
@@ -23,8 +23,10 @@
     Busy = 3,
     /// The sender has given the message up.
     Abandoned = 4,
-    /// The process is stopping.
+    /// The process is stopping; what became of its peers' messages is unknown.
     Stopping = 5,
+    /// The process is stopping; what it has answered has got there, and it has taken nothing else.
+    Settled = 6,
 }
 
 impl From<Code> for VarInt {
@@ -59,12 +61,21 @@
     }
 
     /// Returns the code when the peer refused the message, so that it surely had no effect.
+    ///
+    /// A peer that stops refuses with the end of the connection what it has not answered: an answer
+    /// that has come is read before the end is seen.
     pub fn refusal(&self) -> Option<u64> {
-        let Self::Broken { source: ReadError::Reset(code) } = self else {
+        let Self::Broken { source } = self else {
             return None;
         };
-        let refusals = [Code::Malformed, Code::TooLarge, Code::Busy];
-        refusals.map(VarInt::from).contains(code).then(|| code.into_inner())
+        let (code, refusals): (_, &[Code]) = match source {
+            ReadError::Reset(code) => (*code, &[Code::Malformed, Code::TooLarge, Code::Busy]),
+            ReadError::ConnectionLost(ConnectionError::ApplicationClosed(close)) => {
+                (close.error_code, &[Code::Settled])
+            }
+            _ => return None,
+        };
+        refusals.iter().any(|&refusal| code == refusal.into()).then(|| code.into_inner())
     }
 }
 
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use quinn::{Connection, ConnectionError, Endpoint, SendStream};
+use quinn::{Connection, ConnectionError, Endpoint, SendStream, VarInt};
 use snafu::ResultExt;
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
@@ -96,10 +96,10 @@
 
     /// Returns whether the peer has said that its process stops, which ends what ran there.
     pub fn has_stopped(&self) -> bool {
-        matches!(
-            self.conn.close_reason(),
-            Some(ConnectionError::ApplicationClosed(close)) if close.error_code == Code::Stopping.into()
-        )
+        let Some(ConnectionError::ApplicationClosed(close)) = self.conn.close_reason() else {
+            return false;
+        };
+        [Code::Stopping, Code::Settled].map(VarInt::from).contains(&close.error_code)
     }
 
     /// Returns the count of packets received.
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -32,7 +32,8 @@
     let flag = match shared.table.arrive(attempt) {
         Ok(flag) => flag,
         Err(arrival) => {
-            return write_last(shared, send, reply::Body::Answer(refused(arrival))).await;
+            write_last(shared, send, reply::Body::Answer(refused(arrival))).await;
+            return;
         }
     };
     let worker = Arc::clone(shared);
--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -59,6 +59,8 @@
     Outcome(RequestOutcome),
     /// The attempt has ended, and its answer is kept no more: only its own connection can bring it.
     Forgotten,
+    /// The member's process has ended: only what its connection has brought tells more.
+    Stopped,
 }
 
 /// What a pause has brought.
@@ -90,7 +92,7 @@
             }
             pause = (pause * 2).min(LONGEST);
         }
-        Found::Outcome(RequestOutcome::Lost)
+        Found::Stopped
     }
 
     /// Asks on a connection that is newer than `older`; `None` when there is none or it does not work.
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -134,15 +134,19 @@
         }
     };
     let Some(body) = serve_question(&shared, body, &mut send).await else { return };
-    let Some(_held) = shared.desk.take() else { return reset(&mut send, Code::Busy) };
-    match body {
+    let Some(held) = shared.desk.take() else { return reset(&mut send, Code::Busy) };
+    let answered = match body {
         call::Body::Request(mut request) => {
             let delay = shared.lags.delay(process, request.clock);
             late(&mut request, delay);
             let doubtful = (delay >= HELD_UP).then_some(conn);
             serve_request(&shared, request, &mut send, doubtful).await;
+            true
         }
         body => serve_call(&shared, body, &mut send).await,
+    };
+    if answered {
+        held.settle();
     }
 }
 
@@ -183,8 +187,8 @@
     }
 }
 
-/// Runs a call and writes the reply.
-async fn serve_call(shared: &Arc<Shared>, body: call::Body, send: &mut SendStream) {
+/// Runs a call and writes the reply; returns whether there is one.
+async fn serve_call(shared: &Arc<Shared>, body: call::Body, send: &mut SendStream) -> bool {
     let handler = Arc::clone(&shared.handler);
     // A task of its own, so that a handler that panics costs this call only.
     let reply = tokio::spawn(async move { handler.call(body).await });
@@ -193,6 +197,7 @@
         Err(error) => {
             error!(%error, "handler of a call panicked; the call may have had an effect");
             reset(send, Code::None);
+            false
         }
     }
 }
@@ -213,13 +218,17 @@
     frame::encode(&Reply { body: Some(body) }, shared.settings.limit)
 }
 
-/// Writes the only or last message of a stream.
-pub(super) async fn write_last(shared: &Shared, send: &mut SendStream, body: reply::Body) {
+/// Writes the only or last message of a stream; returns whether it is one that may be sent.
+pub(super) async fn write_last(shared: &Shared, send: &mut SendStream, body: reply::Body) -> bool {
     match encode(shared, body) {
-        Ok(frame) => write_frame(send, frame, true).await,
+        Ok(frame) => {
+            write_frame(send, frame, true).await;
+            true
+        }
         Err(size) => {
             error!(size, "reply exceeds the limit");
             reset(send, Code::None);
+            false
         }
     }
 }
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -9,9 +9,10 @@
 use crossbeam_channel::bounded;
 use quinn::{ReadError, VarInt};
 
-use acaciaring_schema::peer::{Call, Reply, Request, StatusQuery, call};
+use acaciaring_schema::peer::{Call, Reply, Request, StatusQuery, call, reply};
 
 use crate::peer;
+use crate::peer::desk::Desk;
 use crate::peer::frame::{self, Code, FrameError};
 use crate::peer::transport::Shared;
 use crate::peer::{PeerSettings, RequestOutcome, Transport};
@@ -188,3 +189,49 @@
     });
     assert_eq!(server.runs(), 32);
 }
+
+/// Guards against an answer that has come but is not read when the connection ends, and is then told as not run.
+#[test]
+fn an_answer_that_has_come_is_read_after_a_stop() {
+    let authority = Authority::new();
+    let (server, client) = (Node::echo(authority.settings()), Node::echo(authority.settings()));
+    let to = server.transport.local_addr();
+    let sender = shared(&client.transport);
+    let sent = Request { left: 5000, ..request("a") };
+    let call = Call { body: Some(call::Body::Request(sent)) };
+    let frame = frame::encode(&call, sender.settings.limit).unwrap();
+    let (link, mut reader) = sender.runtime.block_on(async {
+        let link = sender.pool.get(sender, to, 0).await.unwrap();
+        let (mut stream, reader) = link.open(sender.settings.limit).await.unwrap();
+        stream.write_chunk(frame).await.unwrap();
+        stream.finish().unwrap();
+        (link, reader)
+    });
+    support::wait_for(|| server.runs() == 1);
+    server.transport.stop();
+    support::wait_for(|| link.has_stopped());
+    let reply = sender.runtime.block_on(reader.next::<Reply>()).unwrap();
+    assert_eq!(reply.body, Some(reply::Body::Answer(echo(request("a")))));
+}
+
+/// Guards against "not run" for a call that had an effect before its handler panicked.
+#[test]
+fn a_stop_after_a_panic_vouches_for_nothing() {
+    let desk = Arc::new(Desk::default());
+    drop(desk.take().unwrap());
+    desk.close();
+    assert_eq!(desk.held(), 0);
+    assert!(!desk.is_settled());
+}
+
+/// Guards against a stop that vouches for nothing because it has refused messages.
+#[test]
+fn a_stop_that_refuses_messages_vouches_for_those_before() {
+    let desk = Arc::new(Desk::default());
+    let held = desk.take().unwrap();
+    desk.close();
+    assert!(desk.take().is_none());
+    assert!(!desk.is_settled());
+    held.settle();
+    assert!(desk.is_settled());
+}
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -317,16 +317,18 @@
             thread::sleep(STEP);
         }
         let due = shared.desk.held();
-        self.close();
+        // A sender can't tell what it wrote just before the end of its connection from work that was cut
+        // off, so the end says which it is.
+        self.close(if shared.desk.is_settled() { Code::Settled } else { Code::Stopping });
         due
     }
 
-    fn close(&self) {
+    fn close(&self, code: Code) {
         let shared = &self.inner.shared;
         if shared.stopped.swap(true, Ordering::AcqRel) {
             return;
         }
-        let code = Code::Stopping.into();
+        let code = code.into();
         shared.pool.clear();
         for conn in shared.registry.connections() {
             conn.close(code, b"stopping");
--- /dev/null
+++ b/acaciaringd/tests/peer_stop.rs
@@ -0,0 +1,100 @@
+//! Messages that meet the end of a member's process.
+
+mod peer_support;
+
+use std::thread;
+use std::time::Duration;
+
+use acaciaring_schema::peer::{StatusQuery, call};
+use acaciaringd::peer::{self, RequestOutcome};
+use crossbeam_channel::bounded;
+
+use crate::peer_support::{Authority, Forwarder, Node, PATIENCE, Passage, echo, request, wait_for};
+
+/// Bound of a stop that does not wait for what is in hand.
+const BRIEF: Duration = Duration::from_millis(50);
+
+/// Time in which the acknowledgement of an answer passes, well below that after which a member is asked first.
+const ACKNOWLEDGED: Duration = Duration::from_millis(100);
+
+/// Member that reports when a request runs and goes on when the test says so.
+struct Slow {
+    node: Node,
+    started: crossbeam_channel::Receiver<()>,
+    go: crossbeam_channel::Sender<()>,
+}
+
+impl Slow {
+    fn start(authority: &Authority) -> Self {
+        let (start, started) = bounded(4);
+        let (go, wait) = bounded(4);
+        let node = Node::start(authority.settings(), move |request, _| {
+            start.send(()).unwrap();
+            wait.recv_timeout(PATIENCE).unwrap();
+            echo(request)
+        });
+        Self { node, started, go }
+    }
+
+    fn wait_for_start(&self) {
+        self.started.recv_timeout(PATIENCE).unwrap();
+    }
+}
+
+/// Guards against a request that is told as one that may have run although it never reached the member.
+#[test]
+fn a_request_on_its_way_to_a_member_that_stops_has_not_run() {
+    let authority = Authority::new();
+    let server = Node::echo(authority.settings());
+    let client = Node::echo(authority.settings());
+    let forwarder = Forwarder::start(server.transport.local_addr());
+    let send = || client.transport.blocking_request(forwarder.address, request("a"), PATIENCE);
+    assert!(matches!(send(), RequestOutcome::Answer(_)));
+    thread::sleep(ACKNOWLEDGED);
+    forwarder.set(Passage::Held, Passage::Open);
+    thread::scope(|scope| {
+        let waiting = scope.spawn(send);
+        wait_for(|| forwarder.held() > 0);
+        server.transport.stop();
+        assert_eq!(waiting.join().unwrap(), RequestOutcome::NotDelivered);
+    });
+    assert_eq!(server.runs(), 1);
+}
+
+/// Guards against a call that is told as one that may have had an effect although it never reached the member.
+#[test]
+fn a_call_on_its_way_to_a_member_that_stops_had_no_effect() {
+    let authority = Authority::new();
+    let server = Node::echo(authority.settings());
+    let client = Node::echo(authority.settings());
+    let forwarder = Forwarder::start(server.transport.local_addr());
+    let send = || {
+        let call = call::Body::Status(StatusQuery {});
+        client.transport.blocking_call(forwarder.address, call, PATIENCE)
+    };
+    send().unwrap();
+    thread::sleep(ACKNOWLEDGED);
+    forwarder.set(Passage::Held, Passage::Open);
+    thread::scope(|scope| {
+        let waiting = scope.spawn(send);
+        wait_for(|| forwarder.held() > 0);
+        server.transport.stop();
+        assert!(!waiting.join().unwrap().unwrap_err().may_have_run());
+    });
+}
+
+/// Guards against "not run" for a request that was still running when the time of the stop was over.
+#[test]
+fn a_request_that_a_stop_cuts_off_may_have_run() {
+    let authority = Authority::new();
+    let server = Slow::start(&authority);
+    let client = Node::echo(authority.settings());
+    let to = server.node.transport.local_addr();
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| client.transport.blocking_request(to, request("a"), PATIENCE));
+        server.wait_for_start();
+        assert_eq!(server.node.transport.stop_within(BRIEF), 1);
+        assert_eq!(waiting.join().unwrap(), RequestOutcome::Lost);
+        server.go.send(()).unwrap();
+    });
+}
--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -240,6 +240,11 @@
     pub fn flows(&self) -> usize {
         self.state.lock().flows.len()
     }
+
+    /// Returns how many packets are held.
+    pub fn held(&self) -> usize {
+        self.state.lock().flows.values().map(|flow| flow.held.len()).sum()
+    }
 }
 
 impl Drop for Forwarder {
