Close connections with the reason of a stop before links are dropped

Seen by callers: where the member that stopped had itself made the connection over which a request came, and did not end with it in time, the caller was told only at its deadline: 20 s in the test, at once on a connection of the sender's own.

Cause: a stop cleared the pool before it closed the connections. Dropping a link closes a connection that this process opened, with the code that says nothing, so the peer searched for the attempt until its deadline.

Evidence: peer_stop::a_stop_is_told_on_connections_that_the_member_made fails on the code before ("the end was told", after 20 s) and passes now. Found by looking for the kind of the fault before; links that are dropped elsewhere (replaced ones) leave the process running, and the search finds their attempts on the next connection.

--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -329,11 +329,12 @@
             return;
         }
         let code = code.into();
-        shared.pool.clear();
         for conn in shared.registry.connections() {
             conn.close(code, b"stopping");
         }
         shared.endpoint.close(code, b"stopping");
+        // Last, for a link that is dropped closes its connection without saying that the process stops.
+        shared.pool.clear();
         let idle = shared.endpoint.wait_idle();
         let farewell = async { time::timeout(FAREWELL, idle).await };
         if shared.runtime.block_on(farewell).is_err() {
--- a/acaciaringd/tests/peer_stop.rs
+++ b/acaciaringd/tests/peer_stop.rs
@@ -3,7 +3,7 @@
 mod peer_support;
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use acaciaring_schema::peer::{StatusQuery, call};
 use acaciaringd::peer::{self, RequestOutcome};
@@ -98,3 +98,25 @@
         server.go.send(()).unwrap();
     });
 }
+
+/// Guards against a caller that waits until its deadline where the member that stopped had made the connection.
+#[test]
+fn a_stop_is_told_on_connections_that_the_member_made() {
+    let authority = Authority::new();
+    let server = Slow::start(&authority);
+    let client = Node::echo(authority.settings());
+    let (here, there) = (client.transport.local_addr(), server.node.transport.local_addr());
+    let outcome = server.node.transport.blocking_request(here, request("a"), PATIENCE);
+    assert!(matches!(outcome, RequestOutcome::Answer(_)));
+    thread::scope(|scope| {
+        let send = || client.transport.blocking_request(there, request("b"), PATIENCE);
+        let waiting = scope.spawn(send);
+        server.wait_for_start();
+        assert_eq!(client.transport.traffic().connections, 1);
+        let start = Instant::now();
+        assert_eq!(server.node.transport.stop_within(BRIEF), 1);
+        assert_eq!(waiting.join().unwrap(), RequestOutcome::Lost);
+        assert!(start.elapsed() < PATIENCE / 2, "the end was told");
+        server.go.send(()).unwrap();
+    });
+}
