Count questions for answers among what a stop waits for

Seen by callers: 502, "may have run", for a request whose connection between two members had died and whose answer was on its way over a second one when the server's member was told to stop.

Cause: the request counts as settled once its answer cannot be written to the dead connection, and the question that brings the answer was not counted, so the stop closed the second connection within 10 ms.

Ruled out: questions whether an attempt has arrived; their answers are small, and a sender that misses one asks again or knows by the end of the first connection.

--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -163,7 +163,13 @@
             reply::Body::Probe(ProbeReply { arrived: shared.table.probe(attempt) })
         }
         call::Body::Fetch(fetch) => {
-            reply::Body::Fetch(FetchReply { answer: serve_fetch(shared, fetch).await })
+            // A stop waits for the answer here too: where the first connection has died, only this
+            // one brings it.
+            let held = shared.desk.hold();
+            let answer = serve_fetch(shared, fetch).await;
+            write_last(shared, send, reply::Body::Fetch(FetchReply { answer })).await;
+            held.settle();
+            return None;
         }
         call::Body::Cancel(Cancel { attempt }) => {
             shared.table.cancel(attempt);
