Wait for the question of a sender whose connection died, too

Seen by callers: the same as before, "may have run" for a request whose connection had died, where the stop came before the sender had asked for its answer on another connection.

Cause: a request counts as settled once its answer cannot be written, so a stop closes before the question comes. It stays in hand now for as long as a sender waits for a connection.

--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -19,7 +19,7 @@
 use crate::peer::transport::Shared;
 use crate::trace::TraceContext;
 
-/// Takes in a request, runs it once and writes its answer.
+/// Takes in a request, runs it once and writes its answer; returns false when its connection has ended before.
 ///
 /// `doubtful` is the connection of a request that was held up on its way.
 pub(super) async fn serve_request(
@@ -27,13 +27,12 @@
     request: Request,
     send: &mut SendStream,
     doubtful: Option<Connection>,
-) {
+) -> bool {
     let attempt = request.attempt;
     let flag = match shared.table.arrive(attempt) {
         Ok(flag) => flag,
         Err(arrival) => {
-            write_last(shared, send, reply::Body::Answer(refused(arrival))).await;
-            return;
+            return write_last(shared, send, reply::Body::Answer(refused(arrival))).await;
         }
     };
     let worker = Arc::clone(shared);
@@ -46,7 +45,7 @@
     });
     // Also when the stream has broken off: the answer can be fetched on another one.
     let frame = finish(shared, attempt, answer);
-    write_frame(send, frame, true).await;
+    write_frame(send, frame).await
 }
 
 /// Waits for the answer of a request; cancels it when the sender no longer listens.
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use prost::Message;
-use quinn::{Connection, ConnectionError, Incoming, RecvStream, SendStream};
+use quinn::{Connection, ConnectionError, Incoming, RecvStream, SendStream, WriteError};
 use snafu::ResultExt;
 use tokio::time;
 use tracing::{debug, error, warn};
@@ -140,7 +140,10 @@
             let delay = shared.lags.delay(process, request.clock);
             late(&mut request, delay);
             let doubtful = (delay >= HELD_UP).then_some(conn);
-            serve_request(&shared, request, &mut send, doubtful).await;
+            if !serve_request(&shared, request, &mut send, doubtful).await {
+                // Its sender is about to ask for the answer on another connection.
+                time::sleep(shared.settings.connect).await;
+            }
             true
         }
         body => serve_call(&shared, body, &mut send).await,
@@ -228,7 +231,7 @@
 pub(super) async fn write_last(shared: &Shared, send: &mut SendStream, body: reply::Body) -> bool {
     match encode(shared, body) {
         Ok(frame) => {
-            write_frame(send, frame, true).await;
+            write_frame(send, frame).await;
             true
         }
         Err(size) => {
@@ -239,13 +242,17 @@
     }
 }
 
-/// Writes a message; a failure means that the connection is over or the sender no longer listens.
+/// Writes the last message of a stream; returns false when the connection ended before the sender had it.
 ///
-/// The last one is out of hand when the sender has it, for a stop drops what is still in a connection.
-pub(super) async fn write_frame(send: &mut SendStream, frame: Bytes, last: bool) {
-    if send.write_chunk(frame).await.is_ok() && last {
-        let _ = send.finish();
-        let _ = send.stopped().await;
+/// It is out of hand when the sender has it or no longer listens, for a stop drops what is still in a
+/// connection.
+pub(super) async fn write_frame(send: &mut SendStream, frame: Bytes) -> bool {
+    match send.write_chunk(frame).await {
+        Ok(()) => {
+            let _ = send.finish();
+            send.stopped().await.is_ok()
+        }
+        Err(error) => !matches!(error, WriteError::ConnectionLost(_)),
     }
 }
 
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -17,7 +17,7 @@
 use crate::peer::transport::Shared;
 use crate::peer::{PeerSettings, RequestOutcome, Transport};
 
-use self::support::{Authority, Node, PATIENCE, echo, request};
+use self::support::{Authority, Forwarder, Node, PATIENCE, echo, request};
 
 #[path = "../../tests/peer_support/mod.rs"]
 pub(crate) mod support;
@@ -193,38 +193,36 @@
 /// Guards against an answer that a stop cuts off while its sender fetches it over a second connection.
 #[test]
 fn a_stop_delivers_an_answer_that_is_fetched() {
-    let authority = Authority::new();
-    let (started, start) = bounded(1);
-    let (go, wait) = bounded::<()>(1);
-    let server = Node::start(authority.settings(), move |request, _| {
-        started.send(()).unwrap();
-        wait.recv_timeout(PATIENCE).unwrap();
-        echo(request)
-    });
-    let client = Node::echo(authority.settings());
-    let to = server.transport.local_addr();
-    let sent = vec![b'x'; 3 << 20];
-    thread::scope(|scope| {
-        let waiting =
-            scope.spawn(|| client.transport.blocking_request(to, request(sent.clone()), PATIENCE));
-        start.recv_timeout(PATIENCE).unwrap();
-        for conn in shared(&client.transport).registry.connections() {
-            conn.close(VarInt::from(Code::None), b"test");
-        }
-        let fetches = || {
-            let conns = shared(&server.transport).registry.connections();
-            let open = conns.iter().filter(|conn| conn.close_reason().is_none());
-            open.map(|conn| conn.stats().frame_rx.stream).sum::<u64>()
-        };
-        // The greeting, the question whether the request has come, and the one for its answer.
-        support::wait_for(|| fetches() >= 3);
-        go.send(()).unwrap();
-        server.transport.stop();
-        let RequestOutcome::Answer(answer) = waiting.join().unwrap() else {
-            panic!("no answer");
-        };
-        assert!(answer.body == sent, "the whole answer");
-    });
+    for at_client in [true, false] {
+        let authority = Authority::new();
+        let (started, start) = bounded(1);
+        let (go, wait) = bounded::<()>(1);
+        let server = Node::start(authority.settings(), move |request, _| {
+            started.send(()).unwrap();
+            wait.recv_timeout(PATIENCE).unwrap();
+            echo(request)
+        });
+        let client = Node::echo(authority.settings());
+        let forwarder = Forwarder::start(server.transport.local_addr());
+        forwarder.set_delay(Duration::from_millis(20));
+        let to = forwarder.address;
+        let sent = vec![b'x'; 5000];
+        thread::scope(|scope| {
+            let send = || client.transport.blocking_request(to, request(sent.clone()), PATIENCE);
+            let waiting = scope.spawn(send);
+            start.recv_timeout(PATIENCE).unwrap();
+            let end = if at_client { &client } else { &server };
+            for conn in shared(&end.transport).registry.connections() {
+                conn.close(VarInt::from(Code::None), b"test");
+            }
+            go.send(()).unwrap();
+            server.transport.stop();
+            let RequestOutcome::Answer(answer) = waiting.join().unwrap() else {
+                panic!("no answer, closed at client: {at_client}");
+            };
+            assert!(answer.body == sent, "the whole answer");
+        });
+    }
 }
 
 /// Guards against an answer that has come but is not read when the connection ends, and is then told as not run.
