--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -206,9 +206,9 @@
         let forwarder = Forwarder::start(server.transport.local_addr());
         forwarder.set_delay(Duration::from_millis(20));
         let to = forwarder.address;
-        let sent = vec![b'x'; 5000];
+        let body = b"a".repeat(5000);
         thread::scope(|scope| {
-            let send = || client.transport.blocking_request(to, request(sent.clone()), PATIENCE);
+            let send = || client.transport.blocking_request(to, request(body.clone()), PATIENCE);
             let waiting = scope.spawn(send);
             start.recv_timeout(PATIENCE).unwrap();
             let end = if at_client { &client } else { &server };
@@ -220,7 +220,7 @@
             let RequestOutcome::Answer(answer) = waiting.join().unwrap() else {
                 panic!("no answer, closed at client: {at_client}");
             };
-            assert!(answer.body == sent, "the whole answer");
+            assert!(answer.body == body, "the whole answer");
         });
     }
 }
