Hand no request on whose caller has left by the time it is read

Cause: an entry that was late reads a request and, right behind it, the end of its connection; the HTTP library hands the request on before it reads any further.

Ruled out: the hop, where a request that was held up waits for its sender's word; the test of that stays green. The socket is asked itself now, one more call for each read.

--- a/acaciaringd/src/web/io.rs
+++ b/acaciaringd/src/web/io.rs
@@ -7,6 +7,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -35,6 +37,8 @@
     idle: Duration,
     /// True while a request is in hand.
     busy: Arc<AtomicBool>,
+    /// Set once the caller has closed the connection.
+    left: Arc<AtomicBool>,
     wait: Wait,
     silence: Pin<Box<Sleep>>,
     /// End of the time for the caller to take some bytes, while it takes none.
@@ -47,9 +51,24 @@
         arrival: Duration,
         idle: Duration,
         busy: Arc<AtomicBool>,
+        left: Arc<AtomicBool>,
     ) -> Self {
         let silence = Box::pin(sleep_until(Instant::now() + idle));
-        Self { stream, arrival, idle, busy, wait: Wait::Idle, silence, stalled: None }
+        Self { stream, arrival, idle, busy, left, wait: Wait::Idle, silence, stalled: None }
+    }
+
+    /// Looks whether the end of the connection stands right behind what was read.
+    ///
+    /// Guards against work for callers that have left: a process that was late reads their requests and
+    /// would hand them on before it reads any further. The socket is asked itself, for the readiness that
+    /// the runtime knows is of the time before the read.
+    fn look(&self) {
+        let mut byte = [0];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match recv(&self.stream, &mut byte, flags) {
+            Ok((_, 1..)) | Err(Errno::AGAIN | Errno::INTR) => {}
+            Ok(_) | Err(_) => self.left.store(true, Ordering::Release),
+        }
     }
 
     /// Follows what the connection waits for, and sets the time for it anew when that changes.
@@ -84,6 +103,9 @@
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let received = buffer.filled().len() > before;
         self.follow(received);
+        if received {
+            self.look();
+        }
         if result.is_ready() || self.wait == Wait::Busy {
             return result;
         }
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -4,6 +4,7 @@
 //! length. When a caller leaves, the future that answers it is dropped.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -207,13 +208,14 @@
         return;
     }
     let CallerLimits { head, arrival, idle, .. } = desk.site.limits();
-    let busy = Arc::new(AtomicBool::new(false));
-    let io = TokioIo::new(Watched::new(stream, arrival, idle, Arc::clone(&busy)));
+    let (busy, left) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let watched = Watched::new(stream, arrival, idle, Arc::clone(&busy), Arc::clone(&left));
+    let io = TokioIo::new(watched);
     let service = service_fn(move |request: hyper::Request<Incoming>| {
         let turn = Turn::new(&desk.requests, &busy);
-        let desk = Arc::clone(&desk);
+        let (desk, left) = (Arc::clone(&desk), Arc::clone(&left));
         async move {
-            let response = desk.answer(request).await;
+            let response = desk.answer(request, &left).await;
             drop(turn);
             Ok::<_, Infallible>(response)
         }
@@ -271,9 +273,15 @@
 }
 
 impl Desk {
-    async fn answer(&self, request: hyper::Request<Incoming>) -> Response {
+    /// Answers a request, unless its caller has left by the time at which it is whole.
+    async fn answer(&self, request: hyper::Request<Incoming>, left: &AtomicBool) -> Response {
         let (head, body) = request.into_parts();
-        match self.read(body).await {
+        let body = self.read(body).await;
+        if left.load(Ordering::Acquire) {
+            // Dropped with the connection, which reads its end next.
+            return pending().await;
+        }
+        match body {
             Ok(body) => self.site.answer(head, body).await,
             Err(fault) => {
                 debug!(?fault, path = head.uri.path(), "request is not whole");
