Do not ask about an attempt while its connection is alive

Cause: without acknowledgement in time the sender asked on the same connection whether the attempt had arrived. The question overtakes what the connection is about to send again, and a "no" has the attempt refused for good.

Ruled out: no connection in time; a copy of the test that printed failed sends showed none with its failures.

While the other end answers on the connection, which delivers in the end whatever was lost, the sender tests it and waits; silent connections lead to the search as before.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -14,7 +14,7 @@
 use acaciaring_schema::peer::{Answer, Call, Reason, Reply, Request, Verdict, call, reply};
 
 use crate::clock;
-use crate::peer::exchange::{self, Sent, abandon, cancel, probe, watched};
+use crate::peer::exchange::{self, Sent, abandon, answers, cancel, watched};
 use crate::peer::frame::{self, FrameError, FrameReader};
 use crate::peer::patience;
 use crate::peer::search::{Found, Search, Subject};
@@ -177,6 +177,10 @@
     ///
     /// The sign is the acknowledgement of its bytes by the connection. It says that the other end
     /// lives, not that it has taken the request in, so a probe still has the last word on that.
+    ///
+    /// While the other end answers on the connection, bytes that were lost on the way are sent again by
+    /// the connection itself. Guards against a question whether the request has arrived that
+    /// overtakes it: the request would be refused for good, though it gets there a moment later.
     async fn run(mut self, patience: Duration) -> RequestOutcome {
         let before = self.sent.link.received();
         let delivered = self.sent.stream.stopped();
@@ -185,14 +189,10 @@
             reply = answer(&mut self.sent.reader) => Some(reply),
             Ok(None) = delivered => None,
             () = patience::pass(patience) => {
-                if self.sent.link.received() == before {
+                let silent = self.sent.link.received() == before;
+                if silent || !answers(self.shared, &self.sent.link.conn).await {
                     return self.recover().await;
                 }
-                match probe(self.shared, &self.sent.link.conn, self.subject.attempt).await {
-                    Some(true) => self.arrived = true,
-                    Some(false) => return self.give_up(),
-                    None => return self.recover().await,
-                }
                 None
             }
         };
@@ -260,10 +260,4 @@
         }
         outcome
     }
-
-    /// Ends an attempt that the receiver refuses from now on.
-    fn give_up(mut self) -> RequestOutcome {
-        abandon(&mut self.sent.stream);
-        RequestOutcome::NotDelivered
-    }
 }
--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -18,6 +18,10 @@
 /// The same, and longer than a receiver keeps an answer for those who ask for it.
 const LONG_CUT: Duration = Duration::from_secs(5);
 
+/// Time in which packets are lost, shorter than that after which a connection is suspect, and how often.
+const LOSS: Duration = Duration::from_millis(60);
+const ROUNDS: usize = 20;
+
 /// Two members with a forwarder between them and a connection that has worked.
 struct Stage {
     client: Node,
@@ -112,6 +116,34 @@
     assert_eq!(stage.server.runs(), 1);
 }
 
+/// Guards against a request that is given up because the question whether it has arrived overtakes it.
+#[test]
+fn a_request_whose_packets_were_lost_arrives() {
+    let stage = Stage::new();
+    stage.client.transport.send(stage.forwarder.address, &Datagram::default(), false);
+    let (from, _) = stage.server.datagrams.recv_timeout(PATIENCE).unwrap();
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !done.load(Ordering::SeqCst) {
+                stage.server.transport.send(from, &Datagram::default(), false);
+                thread::sleep(Duration::from_millis(5));
+            }
+        });
+        let outcomes: Vec<RequestOutcome> = (0..ROUNDS)
+            .map(|_| {
+                stage.forwarder.set(Passage::Silent, Passage::Open);
+                let waiting = scope.spawn(|| stage.request("a"));
+                thread::sleep(LOSS);
+                stage.forwarder.set(Passage::Open, Passage::Open);
+                waiting.join().unwrap()
+            })
+            .collect();
+        done.store(true, Ordering::SeqCst);
+        assert!(outcomes.iter().all(|outcome| *outcome == answer("a")), "{outcomes:?}");
+    });
+}
+
 /// A grade query runs for long. After its arrival was acknowledged the
 /// connection goes silent. The answer must still come, over a new connection,
 /// and the query must not run twice.
