--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -44,9 +44,7 @@
     frame.freeze()
 }
 
-/// A member of a later version sends what this one does not understand, or a
-/// fault garbles a message. Only that stream may suffer: the sender is told
-/// that its message had no effect, and requests on the same connection go on.
+/// Guards against a message that cannot be read and ends other streams, or has an effect.
 #[test]
 fn bad_messages_are_refused_and_harm_nothing_else() {
     let authority = Authority::new();
@@ -86,10 +84,7 @@
     stream.id().index() + 1
 }
 
-/// In a wide fleet two members exchange a request about once in a second and a half. Each of those
-/// requests first asked on a stream of its own whether the other end is there, so a hop cost two
-/// exchanges, and small machines had no processor left: of 762 us a request 373 were for the
-/// question. A request that may be repeated needs none after a second, one that may not asks still.
+/// Guards against two exchanges for each request in a fleet whose members seldom talk.
 #[test]
 fn a_repeatable_request_after_a_second_asks_nothing_first() {
     let authority = Authority::new();
@@ -110,8 +105,7 @@
     assert_eq!(sender.runtime.block_on(opened(sender, to)), 3 + 2 + 1);
 }
 
-/// What a request costs is mostly its packets. Each end dropped the other's stream before it had
-/// seen its end, which asked the peer to stop sending: a packet more, and one that acknowledges it.
+/// Guards against needless packets for streams that were read to their end.
 #[test]
 fn streams_that_were_read_whole_are_not_stopped() {
     let authority = Authority::new();
@@ -134,8 +128,7 @@
     }
 }
 
-/// The connection breaks off while a permit is being issued, at the entry's
-/// end or at the owner's. The office must get the permit over a new connection.
+/// Guards against an answer that is lost with its connection, at either end.
 #[test]
 fn answer_is_fetched_after_the_connection_died() {
     for at_client in [true, false] {
@@ -165,8 +158,7 @@
     }
 }
 
-/// All threads for requests are taken by requests that wait for another
-/// member. Its calls must still be answered, or the two wait for each other.
+/// Guards against two members that wait for each other because requests take all threads.
 #[test]
 fn calls_are_answered_while_all_request_threads_wait() {
     let authority = Authority::new();
--- a/acaciaringd/tests/peer_silence.rs
+++ b/acaciaringd/tests/peer_silence.rs
@@ -69,9 +69,7 @@
     RequestOutcome::Answer(echo(request(body)))
 }
 
-/// A clerk signs a commitment just after a switch has lost track of the
-/// connection. The request never arrives. The entry must learn for sure that it
-/// did not, so that the commitment can be signed at once by another try.
+/// Guards against a request that never arrived and is told as one that may have run.
 #[test]
 fn silence_before_arrival_is_not_delivered() {
     let stage = Stage::new();
@@ -82,8 +80,7 @@
     assert_eq!(stage.forwarder.flows(), 2, "the new connection comes from a new port");
 }
 
-/// The request arrives, but the switch drops all that comes back. The permit is
-/// issued; the office must get the permit, not "unknown".
+/// Guards against an answer that is lost because the way back has gone silent.
 #[test]
 fn silence_of_the_way_back_does_not_lose_the_answer() {
     let stage = Stage::new();
@@ -92,8 +89,7 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
-/// The switch drops what goes there, but what comes back still passes, so the
-/// connection looks alive. The request must still be found not delivered.
+/// Guards against a connection that is taken for alive because only the way there is silent.
 #[test]
 fn silence_of_the_way_there_is_not_delivered() {
     let stage = Stage::new();
@@ -144,9 +140,7 @@
     });
 }
 
-/// A grade query runs for long. After its arrival was acknowledged the
-/// connection goes silent. The answer must still come, over a new connection,
-/// and the query must not run twice.
+/// Guards against an answer that is lost, or a second run, when a connection goes silent after the arrival.
 #[test]
 fn silence_after_arrival_does_not_lose_the_answer() {
     let stage = Stage::new();
@@ -161,8 +155,7 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
-/// The new connection, on which the sender waits for the answer, goes silent
-/// too. The answer must still come.
+/// Guards against an answer that is lost because the replacement of a silent connection goes silent too.
 #[test]
 fn silence_of_the_replacement_does_not_lose_the_answer() {
     let stage = Stage::new();
@@ -180,9 +173,7 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
-/// A payment is held up on the way. The entry asks on a new connection, hears
-/// that it never arrived and gives it to another member. Then the held packets
-/// arrive: the payment must not run here as well.
+/// Guards against a request that runs here although its sender was told that it never arrived.
 #[test]
 fn request_that_arrives_after_the_probe_does_not_run() {
     let stage = Stage::new();
@@ -199,9 +190,7 @@
     assert_eq!(stage.server.runs(), 21);
 }
 
-/// A VM is replaced at the same address while a payment runs on it. The new
-/// process has never heard of the payment, but that says nothing about the old
-/// one: the entry must report "may have run", or it would be paid twice.
+/// Guards against a second run because a new process at an address does not know the attempt.
 #[test]
 fn process_that_restarted_does_not_vouch_for_the_one_before() {
     let stage = Stage::new();
@@ -217,8 +206,7 @@
     assert_eq!(successor.runs(), 0);
 }
 
-/// Many callers wait on one connection when it goes silent. Each must get its
-/// own outcome, and one new connection must do for all of them.
+/// Guards against a new connection for each of many requests on one that has gone silent.
 #[test]
 fn silence_under_load_costs_one_connection() {
     let stage = Stage::new();
@@ -234,9 +222,7 @@
     assert_eq!(stage.forwarder.flows(), 2);
 }
 
-/// A data centre is cut off: nothing passes, and no new connection works
-/// either. A request on the old connection may have run, and the caller must
-/// hear so; one that needs a new connection surely has not.
+/// Guards against a verdict that is wrong, or does not come, when nothing passes any more.
 #[test]
 fn request_into_a_partition_gets_its_verdict() {
     let stage = Stage::new();
@@ -249,9 +235,7 @@
     assert_eq!(stage.server.runs(), 1);
 }
 
-/// An archive read has begun at its server when the machine there runs out of processor, and nothing is heard
-/// of it for two seconds. The entry gave the read up after one, with status 502 and `lost-answer`; 1.7 s later
-/// the server ended with a whole answer that nobody took. The reader must get that answer.
+/// Guards against a request that is given up while the server of a silent member works on it.
 #[test]
 fn answer_is_taken_from_a_member_that_was_silent_for_seconds() {
     let stage = Stage::new();
@@ -267,9 +251,7 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
-/// The server has ended with a whole answer while nothing passes, and by the time that something does the member
-/// keeps the answer no more for those who ask: it was told "absent", and the reader got 502. The answer still
-/// stands in the connection on which the request came, and must be taken from there.
+/// Guards against an answer that is lost because its member keeps it no more for those who ask.
 #[test]
 fn answer_that_is_kept_no_more_is_taken_from_its_own_connection() {
     let stage = Stage::new();
@@ -285,8 +267,7 @@
     assert_eq!(stage.server.runs(), 2);
 }
 
-/// The same member had not even read the request. Its sender must not say that it may have run, for nothing
-/// of it got there: either it is known as not run, or it runs once and is answered.
+/// Guards against "may have run" for a request that a silent member has not read.
 #[test]
 fn request_to_a_member_that_was_silent_for_seconds_gets_a_sure_verdict() {
     let stage = Stage::new();
@@ -308,8 +289,7 @@
     });
 }
 
-/// A member stops for good while a request runs there. Its farewell is proof, so the caller must hear that
-/// the request may have run, not wait for its deadline.
+/// Guards against a wait until the deadline for a member that has said that it ends.
 #[test]
 fn request_at_a_member_that_has_said_farewell_is_lost_at_once() {
     let stage = Stage::new();
@@ -324,9 +304,7 @@
     assert!(start.elapsed() < PATIENCE / 2, "{:?}", start.elapsed());
 }
 
-/// A member that stops waits until the answer of a slow query is delivered, and meanwhile its connection with
-/// the sender goes silent. The member refused all questions by then, so the sender could not ask for the
-/// answer that the stop was waiting to deliver.
+/// Guards against a stop that waits to deliver an answer and refuses the question for it.
 #[test]
 fn answer_that_a_stop_waits_for_is_asked_for_on_another_connection() {
     let stage = Stage::new();
@@ -342,9 +320,7 @@
     });
 }
 
-/// A member has no processor, and a reader waits for it for six seconds. Each handshake costs it what it lacks, so
-/// after the first three it must be asked for few more: with one every second or less, all members together
-/// kept a saturated one from ever catching up.
+/// Guards against handshakes that keep a member without processor from catching up.
 #[test]
 fn a_silent_member_is_asked_for_few_connections() {
     let stage = Stage::new();
