--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -7,7 +7,7 @@
 use acaciaring_core::state::{Folded, ReplicaError};
 use acaciaring_schema::log::{Batch, Record, record};
 use prost::Message;
-use tracing::error;
+use tracing::{Level, debug, enabled, error};
 
 use super::Control;
 
@@ -31,6 +31,7 @@
             Ok(folded) => {
                 self.snapshots.track_empty(&folded);
                 for record in folded {
+                    log_folded(batch, &record);
                     let proposal =
                         record.id.and_then(|id| self.proposals.settle(&id, &record.outcome));
                     if let Some(proposal) = proposal {
@@ -73,6 +74,17 @@
     }
 }
 
+/// Logs a folded record with its body, to trace which record changed an owner.
+fn log_folded(batch: &Batch, Folded { offset, outcome, .. }: &Folded) {
+    if !enabled!(Level::DEBUG) {
+        return;
+    }
+    let index = usize::try_from(offset.saturating_sub(batch.start)).unwrap_or(usize::MAX);
+    let entry = batch.entries.get(index).and_then(|entry| Record::decode(entry.as_slice()).ok());
+    let body = entry.and_then(|record| record.body);
+    debug!(offset, ?outcome, ?body, "record folded");
+}
+
 fn is_assign(entry: &[u8]) -> bool {
     Record::decode(entry).is_ok_and(|record| matches!(record.body, Some(record::Body::Assign(_))))
 }
