Write nothing of an order after its deadline

Callers may be served by two servers: a grant that is written late lasts beyond the lease of its member by that time, while another member serves.

Cause: the deadline of an order was a timer around the exchange. The task of a connection writes when it gets to run, and the timer is checked no earlier. Where the process stood still between the decision and the write, the whole order went out afterwards, and a server counts the hold from its arrival. After a suspension of the VM the timer, which does not count that time, is later still.

Fix: a limit for the writes of each connection, checked against the clock directly before each write and under the lock that the timeout takes, so that after a timeout nothing is written and the client knows whether anything was. Orders that were not written count as not sent; their keys were held back for the duration of a hold before.

Ruled out: that a new process grants under an assignment it has not seen replaced (an owner's token is the offset of a record after its join).

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -6,8 +6,10 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use acaciaring_core::Time;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -22,6 +24,9 @@
 use tokio::time::{Instant, timeout};
 use tracing::debug;
 
+use super::write_limit::{LimitedStream, WriteLimit};
+use crate::clock;
+
 /// Divisor of the server's keep-alive timeout that gives the time for which a connection is reused.
 ///
 /// Leaves a margin for transmission: a request that is sent while the server closes the connection
@@ -86,6 +91,24 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The request may have been sent, and no complete answer was received before the deadline.
+    #[snafu(display("no complete answer from {address} in time"))]
+    Expired {
+        /// Address.
+        address: SocketAddr,
+    },
+    /// Nothing of the request was written before the deadline.
+    #[snafu(display("the request to {address} was not written in time"))]
+    Unwritten {
+        /// Address.
+        address: SocketAddr,
+    },
+    /// The request needs a new connection, which it may not open; nothing was sent.
+    #[snafu(display("no connection to {address} is open"))]
+    Unconnected {
+        /// Address.
+        address: SocketAddr,
+    },
     /// The answer body exceeds the limit.
     #[snafu(display("answer body from {address} exceeds {limit} bytes"))]
     TooLarge {
@@ -100,7 +123,7 @@
     /// Returns true if the server may have received the request.
     #[must_use]
     pub const fn may_have_arrived(&self) -> bool {
-        matches!(self, Self::Lost { .. } | Self::TooLarge { .. })
+        matches!(self, Self::Lost { .. } | Self::Expired { .. } | Self::TooLarge { .. })
     }
 }
 
@@ -116,19 +139,23 @@
     kept: Option<IdleConnection>,
 }
 
-/// Outcome of a request that may use only an existing connection.
-#[derive(Debug)]
-pub enum KeptOutcome {
-    /// The request was sent over an existing connection.
-    Sent(Result<Exchange, ExchangeError>),
-    /// No existing connection is usable; the request was not sent.
-    Unsent(hyper::Request<Full<Bytes>>),
+/// Request without an answer, returned if it was not sent.
+struct Failed {
+    error: ExchangeError,
+    request: Option<hyper::Request<Full<Bytes>>>,
 }
 
 #[derive(Debug)]
-struct IdleConnection {
+struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    limit: Arc<WriteLimit>,
+    reused: bool,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
     until: Instant,
 }
 
@@ -158,39 +185,112 @@
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        let request = match self.exchange_kept(address, request).await {
-            KeptOutcome::Sent(result) => return result,
-            KeptOutcome::Unsent(request) => request,
+        let request = match self.send_kept(address, request, None).await {
+            Ok(exchange) => return Ok(exchange),
+            Err(Failed { request: Some(request), .. }) => request,
+            Err(Failed { error, .. }) => return Err(error),
         };
-        let (mut sender, reused) = (self.connect(address).await?, false);
-        match sender.try_send_request(request).await {
-            Ok(response) => self.receive(address, sender, reused, response).await,
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                let source = error.into_error();
-                if unsent {
-                    Err(source).context(UnsentSnafu { address })
-                } else {
-                    Err(lost(address, source))
-                }
-            }
+        let connection = self.connect(address).await?;
+        self.send(connection, request, None).await.map_err(|failed| failed.error)
+    }
+
+    /// Sends a request like [`Self::exchange`] and waits for its answer until a deadline, after
+    /// which nothing of it is written.
+    ///
+    /// Connects only if `may_connect` allows it.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::may_have_arrived`] tells whether the server may have received the request;
+    /// [`ExchangeError::Unconnected`] is returned if it needs a new connection.
+    pub async fn exchange_until(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+        deadline: Time,
+        may_connect: bool,
+    ) -> Result<Exchange, ExchangeError> {
+        let request = match self.send_kept(address, request, Some(deadline)).await {
+            Ok(exchange) => return Ok(exchange),
+            Err(Failed { request: Some(request), .. }) => request,
+            Err(Failed { error, .. }) => return Err(error),
+        };
+        if !may_connect {
+            return UnconnectedSnafu { address }.fail();
         }
+        let connecting = timeout(deadline.since(clock::now()), self.connect(address));
+        let timed_out =
+            |_| Err(io::Error::from(io::ErrorKind::TimedOut)).context(ConnectSnafu { address });
+        let connection = connecting.await.unwrap_or_else(timed_out)?;
+        self.send(connection, request, Some(deadline)).await.map_err(|failed| failed.error)
     }
 
-    /// Sends a request once over an existing connection, if any, and reads its complete answer.
-    pub async fn exchange_kept(
+    /// Sends a request over an existing connection, if there is one.
+    async fn send_kept(
         &self,
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
-    ) -> KeptOutcome {
-        let Some(mut sender) = self.take(address) else { return KeptOutcome::Unsent(request) };
-        match sender.try_send_request(request).await {
-            Ok(response) => KeptOutcome::Sent(self.receive(address, sender, true, response).await),
-            Err(mut error) => match error.take_message() {
-                // Closed while idle: the unsent request is returned.
-                Some(request) => KeptOutcome::Unsent(request),
-                None => KeptOutcome::Sent(Err(lost(address, error.into_error()))),
-            },
+        deadline: Option<Time>,
+    ) -> Result<Exchange, Failed> {
+        match self.take(address) {
+            Some(connection) => self.send(connection, request, deadline).await,
+            None => Err(Failed {
+                error: ExchangeError::Unconnected { address },
+                request: Some(request),
+            }),
+        }
+    }
+
+    /// Sends a request over a connection and reads its complete answer, until the deadline.
+    async fn send(
+        &self,
+        connection: Connection,
+        request: hyper::Request<Full<Bytes>>,
+        deadline: Option<Time>,
+    ) -> Result<Exchange, Failed> {
+        let address = connection.address;
+        let limit = Arc::clone(&connection.limit);
+        limit.begin(deadline);
+        let answer = self.send_unlimited(connection, request);
+        let Some(deadline) = deadline else { return answer.await };
+        let Ok(answered) = timeout(deadline.since(clock::now()), answer).await else {
+            let written = limit.stop();
+            let error = if written {
+                ExchangeError::Expired { address }
+            } else {
+                ExchangeError::Unwritten { address }
+            };
+            return Err(Failed { error, request: None });
+        };
+        answered.map_err(|failed| match failed.error {
+            ExchangeError::Lost { .. } if !limit.stop() => {
+                Failed { error: ExchangeError::Unwritten { address }, ..failed }
+            }
+            _ => failed,
+        })
+    }
+
+    async fn send_unlimited(
+        &self,
+        mut connection: Connection,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failed> {
+        let address = connection.address;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => {
+                let exchange = self.receive(connection, response).await;
+                exchange.map_err(|error| Failed { error, request: None })
+            }
+            Err(mut error) => {
+                let request = error.take_message();
+                let source = error.into_error();
+                let error = match request {
+                    // Closed while idle.
+                    Some(_) => ExchangeError::Unsent { address, source },
+                    None => lost(address, source),
+                };
+                Err(Failed { error, request })
+            }
         }
     }
 
@@ -200,7 +300,7 @@
     pub async fn release(&self, exchange: &mut Exchange) {
         let Some(mut kept) = exchange.kept.take() else { return };
         // The connection is not ready if the answer came before the request was completely sent.
-        let ready = timeout(RELEASE_TIMEOUT, kept.sender.ready()).await;
+        let ready = timeout(RELEASE_TIMEOUT, kept.connection.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) {
             return;
         }
@@ -211,26 +311,27 @@
     }
 
     /// Takes the most recently used connection.
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
-        idle.retain(|idle| idle.address == address && now < idle.until && !idle.sender.is_closed());
+        idle.retain(|IdleConnection { connection, until }| {
+            connection.address == address && now < *until && !connection.sender.is_closed()
+        });
         while let Some(kept) = idle.pop() {
-            if kept.sender.is_ready() {
-                return Some(kept.sender);
+            if kept.connection.sender.is_ready() {
+                return Some(Connection { reused: true, ..kept.connection });
             }
         }
         None
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
         let connected = timeout(self.settings.connect, TcpStream::connect(address)).await;
         let stream = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = stream.context(ConnectSnafu { address })?;
         self.set_socket_options(&stream).context(ConnectSnafu { address })?;
+        let limit = Arc::new(WriteLimit::default());
+        let stream = LimitedStream::new(stream, Arc::clone(&limit));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.context(UnsentSnafu { address })?;
         tokio::spawn(async move {
@@ -238,7 +339,7 @@
                 debug!(%address, error = &error as &dyn Error, "client connection failed");
             }
         });
-        Ok(sender)
+        Ok(Connection { address, sender, limit, reused: false })
     }
 
     /// Sets `TCP_NODELAY` and, if configured, TCP keep-alive and the user timeout (RFC 5482).
@@ -259,15 +360,14 @@
 
     async fn receive(
         &self,
-        address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
-        reused: bool,
+        connection: Connection,
         response: hyper::Response<Incoming>,
     ) -> Result<Exchange, ExchangeError> {
         let (head, body) = response.into_parts();
-        let body = self.read(address, body).await?;
+        let body = self.read(connection.address, body).await?;
         let until = Instant::now() + keep_alive(&head.headers).unwrap_or(self.settings.idle);
-        let kept = (!closes(&head.headers)).then_some(IdleConnection { address, sender, until });
+        let reused = connection.reused;
+        let kept = (!closes(&head.headers)).then_some(IdleConnection { connection, until });
         Ok(Exchange { head, body, reused, kept })
     }
 
--- a/acaciaringd/src/web/mod.rs
+++ b/acaciaringd/src/web/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod io;
 mod server;
+mod write_limit;
 
-pub use self::client::{Client, ClientSettings, Exchange, ExchangeError, KeptOutcome};
+pub use self::client::{Client, ClientSettings, Exchange, ExchangeError};
 pub use self::server::{Fault, HttpHandler, Response, Server, WebError, text};
--- /dev/null
+++ b/acaciaringd/src/web/write_limit.rs
@@ -0,0 +1,107 @@
+//! TCP stream that writes nothing once the deadline of the current request has passed.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use acaciaring_core::Time;
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::clock;
+
+/// Deadline of the writes of one connection, shared with the exchange that uses it.
+///
+/// Guards against a request that is written long after it was given up, because the task of its
+/// connection or the whole VM stood still: a timer is checked no earlier than that task runs.
+#[derive(Debug, Default)]
+pub(super) struct WriteLimit(Mutex<Writes>);
+
+#[derive(Debug, Default)]
+struct Writes {
+    /// `None` if writes are not limited.
+    deadline: Option<Time>,
+    /// True once a byte was written for the current request.
+    started: bool,
+}
+
+impl WriteLimit {
+    /// Sets the deadline for the next request.
+    pub(super) fn begin(&self, deadline: Option<Time>) {
+        *self.0.lock() = Writes { deadline, started: false };
+    }
+
+    /// Prevents all further writes; returns true if a byte of the current request was written.
+    pub(super) fn stop(&self) -> bool {
+        let mut writes = self.0.lock();
+        writes.deadline = Some(Time::ZERO);
+        writes.started
+    }
+
+    /// Runs a write unless the deadline has passed.
+    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let mut writes = self.0.lock();
+        if writes.deadline.is_some_and(|deadline| clock::now() >= deadline) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let written = write();
+        writes.started |= matches!(written, Poll::Ready(Ok(1..)));
+        written
+    }
+}
+
+/// TCP stream whose writes obey a [`WriteLimit`].
+pub(super) struct LimitedStream {
+    stream: TcpStream,
+    limit: Arc<WriteLimit>,
+}
+
+impl LimitedStream {
+    pub(super) const fn new(stream: TcpStream, limit: Arc<WriteLimit>) -> Self {
+        Self { stream, limit }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let Self { stream, limit } = self.get_mut();
+        limit.write(|| Pin::new(stream).poll_write(cx, bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let Self { stream, limit } = self.get_mut();
+        limit.write(|| Pin::new(stream).poll_write_vectored(cx, slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
