Wait for the last grant of a killed process

Two servers may hold a range for up to 0.2 s: a process is killed with a grant under way, the next one starts beside the living server and passes the range on.

Cause: a new process counts all keys as held for the longest hold from its start, but a grant of the process before may arrive up to the timeout of an order later, and its hold counts from its arrival. Evidence: the model dropped what a killed process had under way.

Fix: the wait begins when the last grant can have arrived. The mutation WriteAfterDeadline (an order may be written after its deadline) is found in 1,657 states.

Elsewhere: replies to heartbeats count from the sending of the heartbeat and are not concerned.

--- a/acaciaring_core/src/orders.rs
+++ b/acaciaring_core/src/orders.rs
@@ -77,9 +77,11 @@
 impl Orders {
     /// Creates the state for an upstream of which nothing is known.
     ///
-    /// It may hold any keys by grants of an earlier process, for the maximum duration of a grant.
+    /// It may hold any keys by grants of an earlier process, the last of which may still arrive, for
+    /// the maximum duration of a grant.
     #[must_use]
     pub fn new(now: Time, hold: Duration) -> Self {
+        let last_arrival = now + ORDER_TIMEOUT;
         Self {
             hold,
             incarnations: Incarnations::new(now),
@@ -88,7 +90,7 @@
             count: 0,
             replacements: 0,
             epoch: Epoch::default(),
-            unknown_until: now + hold.mul_f64(1.0 + CLOCK_DRIFT),
+            unknown_until: last_arrival + hold.mul_f64(1.0 + CLOCK_DRIFT),
             changed: true,
             due: now,
             next_expiry: None,
--- a/acaciaring_model/src/mutation.rs
+++ b/acaciaring_model/src/mutation.rs
@@ -57,4 +57,6 @@
     EarlierOrdersIgnored,
     /// A grant may outlast the owner's lease.
     GrantPastLease,
+    /// An order may be written, and arrive, after its deadline.
+    WriteAfterDeadline,
 }
