Read anew soon from a store that was silent

Cause: reads that wait for a record are given up after 26 s. A store that is silent above TCP loses them, on connections that stay open and whose probes are answered; the store is silent from 8.7 to 13.2 s and all members had begun to wait before its end. The log's reads wait alike.

Fix: the duration of a waiting read grows with the number of live members, 250 ms for each, at least a second and at most log.wait, and varies at random by half. All members together read every 250 ms, and the first that finds the store answering tells the others by the versions that lease messages carry. The rate of calls does not depend on the number of members.

Ruled out: a lost connection (probes and new connections work), members that do not pass newer versions on (the logged machine got version 62 from another member at 20.56 s).

--- a/acaciaring_core/src/pace.rs
+++ b/acaciaring_core/src/pace.rs
@@ -8,6 +8,27 @@
 /// Maximum interval between two reads, however many members there are.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Average time between the ends of two waiting reads of all members together.
+const POLL_SPACING: Duration = Duration::from_millis(250);
+
+/// Minimum average duration of a waiting read.
+const MIN_POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Returns how long a read may wait for something new, at most `longest`.
+///
+/// Guards against a service that stops answering above TCP: its open connections look alive, and
+/// reads that wait there would notice only after their whole duration that it answers again. Members
+/// tell each other what they have read, so it suffices that one of them reads anew soon. The duration
+/// grows with the number of members, which keeps their common rate of reads, and `random`, from 0 to
+/// 1, spreads the reads of members that began to wait together.
+#[must_use]
+pub fn poll_wait(members: usize, longest: Duration, random: f64) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    let average =
+        POLL_SPACING.saturating_mul(members).clamp(MIN_POLL_WAIT, longest.max(MIN_POLL_WAIT));
+    average.mul_f64(0.5 + random.clamp(0.0, 1.0)).min(longest)
+}
+
 /// Paces one member's reads of the log, so that the reads of all members keep to a common rate.
 ///
 /// Guards against a number of reads that grows with members times records, as each record ends the
--- a/acaciaring_core/tests/pace.rs
+++ b/acaciaring_core/tests/pace.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use acaciaring_core::Time;
-use acaciaring_core::pace::ReadPacer;
+use acaciaring_core::pace::{ReadPacer, poll_wait};
 
 const RATE: u32 = 200;
 
@@ -80,3 +80,14 @@
     pacer.folded(8);
     assert_eq!(pacer.remaining(Time::from_millis(1000)), Duration::from_millis(330));
 }
+
+/// Guards against members that all wait for tens of seconds at a service that has become silent.
+#[test]
+fn few_members_wait_for_a_short_time_and_many_keep_their_common_rate() {
+    let longest = Duration::from_secs(25);
+    let wait = |members, random| poll_wait(members, longest, random).as_millis();
+    assert_eq!([wait(0, 0.5), wait(3, 0.0), wait(3, 1.0)], [1000, 500, 1500]);
+    assert_eq!([wait(9, 0.5), wait(66, 0.5)], [2250, 16_500]);
+    assert_eq!(wait(470, 1.0), 25_000);
+    assert_eq!(poll_wait(9, Duration::from_millis(300), 1.0), Duration::from_millis(300));
+}
--- a/acaciaringd/src/daemon/adapters.rs
+++ b/acaciaringd/src/daemon/adapters.rs
@@ -12,6 +12,7 @@
 use crate::entry::{EntryAnswer, EntryRequest};
 use crate::heartbeat::Heartbeats;
 use crate::platform::LogService;
+use crate::poll_wait::PollWait;
 use crate::router::Router;
 use crate::upstream::UpstreamClient;
 
@@ -47,6 +48,8 @@
     pub heartbeats: Heartbeats,
     /// Declared configurations, received from the environment.
     pub declarations: Arc<Declarations>,
+    /// Durations of reads that wait for something new.
+    pub polls: PollWait,
     pub(crate) admin: Arc<dyn crate::announce::Admin>,
 }
 
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -35,6 +35,7 @@
 use crate::metrics::{Metrics, MetricsError, MetricsHandler};
 use crate::outbox::Outbox;
 use crate::peer::{PeerError, Transport};
+use crate::poll_wait::PollWait;
 use crate::read_scheduler::ReadScheduler;
 use crate::reader;
 use crate::recent_records::RecentRecords;
@@ -156,35 +157,20 @@
             declarations: Arc::clone(&declarations),
         });
 
-        let router = Router {
-            shared: Arc::clone(&shared),
-            gate: Arc::clone(&gate),
-            transport: transport.clone(),
-            selector: Mutex::new(Selector::new(SelectorSettings::default())),
-            budgets: options::retry_budgets(settings),
-            suspects: Suspects::default(),
-            refusals: Mutex::default(),
-            outages: Outages::default(),
-            metrics: metrics.clone(),
-            wait_limit: WaitLimit::new(settings.entry.workers as usize / WAITER_DIVISOR),
-            splits: TrafficSplits::default(),
-            timeouts: TimeoutHistory::default(),
-            declarations: Arc::clone(&declarations),
-            log_limit: LogLimiter::new(MAX_LOG_LINES),
-            late_limit: LogLimiter::new(MAX_LATE_LOG_LINES),
-            lag_monitor: LagMonitor::start(transport.runtime()),
-        };
+        let router = router(settings, &shared, &gate, &transport, &metrics, &declarations);
         let admin = MemberAdmin {
             events: events.clone(),
             shared: Arc::clone(&shared),
             gate: Arc::clone(&gate),
             transport: transport.clone(),
         };
+        let polls = PollWait::new(Arc::clone(&shared), settings.log.wait);
         let listener_context = ListenerContext {
             runtime: transport.runtime().clone(),
             front: Frontend { router: Arc::new(router), declarations: Arc::clone(&declarations) },
             heartbeats: Heartbeats::new(events.clone()),
             declarations: Arc::clone(&declarations),
+            polls: polls.clone(),
             admin: Arc::new(admin),
         };
         let listeners = adapters.open(listener_context).context(ListenerSnafu)?;
@@ -219,7 +205,7 @@
             upstream: settings.upstream.clone(),
         };
         gauges::start(&context.shared, &context.gate, metrics);
-        reader::start(log, settings.log.wait, reads, read_scheduler, events.clone());
+        reader::start(log, polls, reads, read_scheduler, events.clone());
         let control = Control::start(context, inbox);
         info!(http = %listeners.callers(), peer = %transport.local_addr(),
             admin = %listeners.admin(), "daemon started");
@@ -278,6 +264,35 @@
     web::Server::start(transport.runtime(), address, handler).context(PageSnafu)
 }
 
+/// Creates the router of callers' requests.
+fn router(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    gate: &Arc<Gate>,
+    transport: &Transport,
+    metrics: &Metrics,
+    declarations: &Arc<Declarations>,
+) -> Router {
+    Router {
+        shared: Arc::clone(shared),
+        gate: Arc::clone(gate),
+        transport: transport.clone(),
+        selector: Mutex::new(Selector::new(SelectorSettings::default())),
+        budgets: options::retry_budgets(settings),
+        suspects: Suspects::default(),
+        refusals: Mutex::default(),
+        outages: Outages::default(),
+        metrics: metrics.clone(),
+        wait_limit: WaitLimit::new(settings.entry.workers as usize / WAITER_DIVISOR),
+        splits: TrafficSplits::default(),
+        timeouts: TimeoutHistory::default(),
+        declarations: Arc::clone(declarations),
+        log_limit: LogLimiter::new(MAX_LOG_LINES),
+        late_limit: LogLimiter::new(MAX_LATE_LOG_LINES),
+        lag_monitor: LagMonitor::start(transport.runtime()),
+    }
+}
+
 /// Returns the scheduler of log reads, limited to the configured rate.
 fn read_scheduler(settings: &Settings, transport: &Transport) -> Arc<ReadScheduler> {
     let scheduler = Arc::new(ReadScheduler::new(settings.log.rate.min(settings.log.reads)));
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -23,6 +23,7 @@
 mod outbox;
 pub mod peer;
 pub mod platform;
+mod poll_wait;
 mod read_scheduler;
 mod reader;
 mod recent_records;
@@ -38,5 +39,6 @@
     AdapterError, Adapters, Daemon, Frontend, ListenerContext, Listeners, StartError,
 };
 pub use crate::header::Headers;
+pub use crate::poll_wait::PollWait;
 pub mod logging;
 pub mod metrics;
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -13,6 +13,7 @@
 use crate::control::Event;
 use crate::critical_thread;
 use crate::platform::LogService;
+use crate::poll_wait::PollWait;
 use crate::read_scheduler::ReadScheduler;
 
 /// Maximum number of records in one read of the log service.
@@ -35,7 +36,7 @@
 /// Starts the thread; it sends each batch as an event and ends with the receiver.
 pub(crate) fn start(
     log: Arc<dyn LogService>,
-    wait: Duration,
+    polls: PollWait,
     relay: Relay,
     read_scheduler: Arc<ReadScheduler>,
     events: Sender<Event>,
@@ -43,7 +44,7 @@
     let backoff = Backoff::new(INITIAL_PAUSE, MAX_PAUSE);
     let reader = Reader {
         log,
-        wait,
+        polls,
         relay,
         read_scheduler,
         events,
@@ -56,8 +57,8 @@
 
 struct Reader {
     log: Arc<dyn LogService>,
-    /// Time for which a read blocks until there is a new record.
-    wait: Duration,
+    /// Durations for which reads block until there is a new record.
+    polls: PollWait,
     relay: Relay,
     read_scheduler: Arc<ReadScheduler>,
     events: Sender<Event>,
@@ -86,7 +87,7 @@
     /// Reads from the log service, else from another member.
     fn read(&mut self, from: u64) -> Option<Batch> {
         // The first read must not block: the start would be delayed until there is a new record.
-        let wait = if self.has_read { self.wait } else { Duration::ZERO };
+        let wait = if self.has_read { self.polls.next() } else { Duration::ZERO };
         match self.log.read(from, READ_LIMIT, wait) {
             Ok(batch) => {
                 self.has_read = true;
