Give orders that are sent late the time that the lease leaves

Beside load no server was granted its keys: orders were decided, waited for the runtime for more than the 200 ms that they had, were not written, and were decided anew.

Cause: the deadline of an order counted from its decision, though the lease had been renewed in between.

Fix: the task that sends an order asks what the lease leaves now, if the member is still the one that decided it, and takes at most 200 ms. The new story fails without it, for the method is new.

Each answer to an order is logged at debug level, to count those that did not arrive.

--- a/acaciaring_core/src/orders/order.rs
+++ b/acaciaring_core/src/orders/order.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::ORDER_TIMEOUT;
+use crate::holds::CLOCK_DRIFT;
 use crate::id::{Name, Token};
 use crate::time::Time;
 
@@ -49,6 +51,23 @@
     pub may_connect: bool,
 }
 
+impl Issued {
+    /// Returns the deadline if the order is sent at `now` by the member that issued it, whose lease
+    /// then lasts until `lease`.
+    ///
+    /// Guards against orders that always miss their deadline while the process is short of
+    /// processor: under a renewed lease a grant may arrive later than it was decided for.
+    #[must_use]
+    pub fn deadline_at(&self, now: Time, lease: Time) -> Time {
+        let full = now + ORDER_TIMEOUT;
+        let latest = match &self.order.action {
+            Action::Grant { hold, .. } => full.min(lease - hold.mul_f64(1.0 + CLOCK_DRIFT)),
+            Action::Release => full,
+        };
+        self.deadline.max(latest)
+    }
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Answer {
--- a/acaciaring_core/tests/orders.rs
+++ b/acaciaring_core/tests/orders.rs
@@ -347,3 +347,20 @@
     let last_arrival = start + ORDER_TIMEOUT;
     assert!(may_hold(&orders, last_arrival + HOLD.mul_f64(1.02), 1));
 }
+
+/// Guards against grants that never arrive in time while the process is short of processor, and
+/// against one that is sent late and outlasts the lease.
+#[test]
+fn an_order_that_is_sent_late_has_the_time_that_the_lease_leaves() {
+    let mut orders = Orders::new(at(0), HOLD);
+    orders.set_wanted(&[wanted(1, 7)]);
+    let issued = orders.decide(at(0), at(2000), |_, _| true).remove(0);
+    let Action::Grant { hold, .. } = issued.order.action else { panic!("a grant") };
+    assert_eq!(issued.deadline_at(at(1), at(2000)), issued.deadline, "the lease leaves no more");
+    let sent = at(700);
+    let renewed = at(2600);
+    let deadline = issued.deadline_at(sent, renewed);
+    assert!(deadline > sent && deadline + hold.mul_f64(1.02) <= renewed);
+    assert_eq!(issued.deadline_at(sent, at(9000)), sent + ORDER_TIMEOUT);
+    assert_eq!(issued.deadline_at(sent, Time::ZERO), issued.deadline, "no lease is left");
+}
--- a/acaciaringd/src/control/orders.rs
+++ b/acaciaringd/src/control/orders.rs
@@ -5,13 +5,14 @@
 
 use acaciaring_core::holds::Wanted;
 use acaciaring_core::orders::{Action, Answer, Completion, Issued, Order};
-use acaciaring_core::{Name, Time, UnitId};
+use acaciaring_core::{MemberId, Name, Time, UnitId};
 use tracing::{debug, info, warn};
 
 use super::grant_mode::GrantMode;
 use super::{Control, Event};
+use crate::clock;
 use crate::upstream::OrderCall;
-use crate::view::{Permit, Permits};
+use crate::view::{Permit, Permits, Shared};
 
 impl Control {
     /// Sets the units that the upstream is to hold, according to the permits of this member.
@@ -59,19 +60,18 @@
         let inflight = &self.context.shared.inflight;
         let busy = LazyCell::new(|| inflight.keys(&endpoint.workspace));
         let idle = |first, last| busy.range(u64::from(first)..=u64::from(last)).next().is_none();
-        let issued = orders.decide(now, lease, idle);
-        for Issued { number, order, deadline, may_connect } in issued {
-            let call = OrderCall {
-                address: endpoint.address,
-                order,
-                deadline,
-                may_connect,
-                instance: Arc::clone(&endpoint.instance),
-            };
-            debug!(number, order = ?call.order, "sending an order to the upstream");
+        let me = self.identity.as_ref().map(|identity| identity.me);
+        for issued in orders.decide(now, lease, idle) {
+            let number = issued.number;
+            debug!(number, order = ?issued.order, "sending an order to the upstream");
+            let (address, instance) = (endpoint.address, Arc::clone(&endpoint.instance));
             let (client, events) =
                 (Arc::clone(&self.context.upstream_client), self.context.events.clone());
+            let shared = Arc::clone(&self.context.shared);
             self.context.transport.runtime().spawn(async move {
+                let deadline = deadline(&shared, me, &issued);
+                let Issued { order, may_connect, .. } = issued;
+                let call = OrderCall { address, order, deadline, may_connect, instance };
                 let answer = client.order(call).await;
                 // The control thread may have ended.
                 let _ = events.send(Event::OrderAnswered(number, answer));
@@ -101,6 +101,16 @@
     }
 }
 
+/// Returns the deadline of an order of the member `me` that is sent now.
+fn deadline(shared: &Shared, me: Option<MemberId>, issued: &Issued) -> Time {
+    // Read before the identity: a later member of this process publishes its id before its lease.
+    let lease = shared.lease.get();
+    if shared.view().me != me {
+        return issued.deadline;
+    }
+    issued.deadline_at(clock::now(), lease)
+}
+
 /// Logs orders that were refused, changed the known state, or have an unknown result.
 fn log(settled: &Completion, answer: &Answer) {
     let Order { first, last, token, action } = &settled.order;
@@ -116,6 +126,6 @@
         _ if settled.changed || *answer == Answer::Unknown => {
             info!(what, first, last, token = token.0, ?answer, age, "order settled");
         }
-        _ => {}
+        _ => debug!(what, first, last, token = token.0, ?answer, age, "order settled"),
     }
 }
