Reset the connections of abandoned requests

A request that is given up closed its connection, and a close still delivers what was written once the server gets to read it.

An exchange that is dropped before its answer is complete now marks its connection; its socket is then reset (SO_LINGER of zero) instead of closed, and nothing more is written or shut down on it.

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -24,7 +24,7 @@
 use tokio::time::{Instant, timeout};
 use tracing::debug;
 
-use super::write_limit::{LimitedStream, WriteLimit};
+use super::write_limit::{AbandonGuard, LimitedStream, WriteLimit};
 use crate::clock;
 
 /// Divisor of the server's keep-alive timeout that gives the time for which a connection is reused.
@@ -175,7 +175,7 @@
 
     /// Sends a request once, over an existing or a new connection, and reads its complete answer.
     ///
-    /// The caller limits the time by dropping the future, which closes the connection.
+    /// The caller limits the time by dropping the future, which resets the connection.
     ///
     /// # Errors
     ///
@@ -276,9 +276,11 @@
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<Exchange, Failed> {
         let address = connection.address;
+        let guard = AbandonGuard::new(Arc::clone(&connection.limit));
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = self.receive(connection, response).await;
+                guard.answered();
                 exchange.map_err(|error| Failed { error, request: None })
             }
             Err(mut error) => {
--- a/acaciaringd/src/web/write_limit.rs
+++ b/acaciaringd/src/web/write_limit.rs
@@ -1,12 +1,15 @@
-//! TCP stream that writes nothing once the deadline of the current request has passed.
+//! TCP stream that writes nothing once the deadline of the current request has passed, and that is
+//! reset if its request is abandoned.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use acaciaring_core::Time;
 use parking_lot::Mutex;
+use rustix::net::sockopt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -25,12 +28,14 @@
     deadline: Option<Time>,
     /// True once a byte was written for the current request.
     started: bool,
+    /// True once the current request was abandoned.
+    abandoned: bool,
 }
 
 impl WriteLimit {
     /// Sets the deadline for the next request.
     pub(super) fn begin(&self, deadline: Option<Time>) {
-        *self.0.lock() = Writes { deadline, started: false };
+        *self.0.lock() = Writes { deadline, started: false, abandoned: false };
     }
 
     /// Prevents all further writes; returns true if a byte of the current request was written.
@@ -40,6 +45,20 @@
         writes.started
     }
 
+    /// Prevents all further writes and resets the connection when it closes.
+    ///
+    /// Guards against a server that reads a request after its caller has left: a connection that is
+    /// closed still delivers what was written to it, and one that is reset does not.
+    fn abandon(&self) {
+        let mut writes = self.0.lock();
+        writes.deadline = Some(Time::ZERO);
+        writes.abandoned = true;
+    }
+
+    fn is_abandoned(&self) -> bool {
+        self.0.lock().abandoned
+    }
+
     /// Runs a write unless the deadline has passed.
     fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let mut writes = self.0.lock();
@@ -52,6 +71,28 @@
     }
 }
 
+/// Abandons the request of a connection on drop, unless its answer was received.
+pub(super) struct AbandonGuard(Option<Arc<WriteLimit>>);
+
+impl AbandonGuard {
+    pub(super) const fn new(limit: Arc<WriteLimit>) -> Self {
+        Self(Some(limit))
+    }
+
+    /// Records that the answer was received.
+    pub(super) fn answered(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for AbandonGuard {
+    fn drop(&mut self) {
+        if let Some(limit) = &self.0 {
+            limit.abandon();
+        }
+    }
+}
+
 /// TCP stream whose writes obey a [`WriteLimit`].
 pub(super) struct LimitedStream {
     stream: TcpStream,
@@ -64,6 +105,15 @@
     }
 }
 
+impl Drop for LimitedStream {
+    fn drop(&mut self) {
+        if self.limit.is_abandoned() {
+            // Without the option the connection is closed instead of reset.
+            let _ = sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for LimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -102,6 +152,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.limit.is_abandoned() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
