Pass log records on between members of a wide fleet

In a fleet of more than 16 members each data centre now has one reader (two where there is one data centre). Readers read every 400 ms while records come and pass them on to up to six members, which pass them on in turn; places follow from a hash of the VM's name, so a restart changes none. Lease renewals and grants state how long ago the sender's copy was known to be complete. A member reads the store itself while it has no lease, when its copy was not confirmed for four seconds, or when a record that it requires was not passed on within 700 ms. Records that skip an offset are requested from their sender; those that do not decode are refused with a log line that names it. Members that need not read the log do not read the configuration at the store either, and get it from others.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod balance;
 pub mod dedup;
+pub mod fanout;
 pub mod holds;
 mod id;
 pub mod lag;
--- a/acaciaring_core/src/pace.rs
+++ b/acaciaring_core/src/pace.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::fanout::{PASS_TIMEOUT, READ_INTERVAL, ReadMode};
 use crate::id::Offset;
 use crate::time::Time;
 
@@ -43,6 +44,11 @@
     interval: Duration,
     /// Time at which the last read was answered.
     last_read: Time,
+    mode: ReadMode,
+    /// Time since which a required record has not been passed on.
+    missing_since: Option<Time>,
+    /// True when the last read ended before the end of the log.
+    partial: bool,
 }
 
 impl ReadPacer {
@@ -59,8 +65,13 @@
     }
 
     /// Records that a read was answered.
-    pub const fn answered(&mut self, now: Time) {
+    pub fn answered(&mut self, now: Time) {
         self.last_read = now;
+        if self.mode == ReadMode::Passed {
+            // The answer contains all records that existed before, so the rest was expected in vain.
+            self.required = 0;
+            self.missing_since = None;
+        }
     }
 
     /// Sets the offset after the last folded record.
@@ -68,6 +79,24 @@
         self.next = next;
     }
 
+    /// Sets the offset after the last folded record, and the end of the log at the last read.
+    pub fn folded_until(&mut self, next: Offset, end: Offset) {
+        self.folded(next);
+        self.require(end);
+        self.partial = next < end;
+    }
+
+    /// Sets how records reach this member.
+    pub const fn set_mode(&mut self, mode: ReadMode) {
+        self.mode = mode;
+    }
+
+    /// Updates since when a required record has not been passed on.
+    pub fn track_missing(&mut self, now: Time) {
+        let missing = self.next < self.required;
+        self.missing_since = missing.then(|| self.missing_since.unwrap_or(now));
+    }
+
     /// Sets the interval from the number of members and their common rate in reads per second.
     pub fn set_rate(&mut self, members: usize, rate: u32) {
         let members = u32::try_from(members).unwrap_or(u32::MAX);
@@ -88,15 +117,26 @@
     /// Returns the interval between two reads.
     #[must_use]
     pub const fn interval(&self) -> Duration {
-        self.interval
+        match self.mode {
+            ReadMode::Paced => self.interval,
+            ReadMode::Every(interval) => interval,
+            ReadMode::Passed => READ_INTERVAL,
+        }
     }
 
     /// Returns the time until the next read may start.
     #[must_use]
     pub fn remaining(&self, now: Time) -> Duration {
-        if self.next < self.required {
-            return Duration::ZERO;
+        let missing = self.next < self.required;
+        match self.mode {
+            _ if missing && self.partial => Duration::ZERO,
+            ReadMode::Passed => {
+                let due = self.missing_since.map(|since| since + PASS_TIMEOUT);
+                due.map_or(MAX_INTERVAL, |due| due.since(now))
+            }
+            _ if missing => Duration::ZERO,
+            ReadMode::Paced => (self.last_read + self.interval).since(now),
+            ReadMode::Every(interval) => (self.last_read + interval).since(now),
         }
-        (self.last_read + self.interval).since(now)
     }
 }
--- a/acaciaringd/examples/hop.rs
+++ b/acaciaringd/examples/hop.rs
@@ -131,6 +131,7 @@
         version: 120_000,
         applied: 123_500,
         declared: 0,
+        age: 0,
     };
     Datagram { body: Some(datagram::Body::Renew(renew)) }
 }
--- a/acaciaringd/src/control/catch_up.rs
+++ b/acaciaringd/src/control/catch_up.rs
@@ -42,8 +42,13 @@
         if applied <= next || !quiet {
             return;
         }
-        self.progress.last_queried = now;
         debug!(%from, applied, next, "another member is ahead in the log, requesting records");
+        self.fetch_records(now, from, next);
+    }
+
+    /// Requests records from another member, from an offset on.
+    pub(super) fn fetch_records(&mut self, now: Time, from: SocketAddr, next: Offset) {
+        self.progress.last_queried = now;
         let events = self.context.events.clone();
         let done = move |reply: Option<reply::Body>| {
             let Some(reply::Body::Records(batch)) = reply else { return };
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -7,7 +7,7 @@
 use acaciaring_core::state::{Outcome, RecordId};
 use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Batch, Publish, Vote};
-use acaciaring_schema::peer::{Datagram, Release};
+use acaciaring_schema::peer::{Datagram, Feed, Release};
 use crossbeam_channel::Sender;
 
 use tokio::sync::oneshot;
@@ -22,6 +22,8 @@
     Batch(Batch, Sender<()>),
     /// Records of the log, fetched from another member.
     Relayed(Batch),
+    /// Records of the log, passed on by another member.
+    Feed(Feed),
     /// Datagram from another member.
     Datagram(SocketAddr, Datagram),
     /// Vote of a lessor about a member.
--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -48,8 +48,11 @@
         self.progress.caught_up |= state.next().max(1) >= batch.next;
         if state.next() != before {
             self.progress.last_folded = now;
+            let new = batch.entries.iter().zip(batch.start..).filter(|(_, at)| *at >= before);
+            let new = new.map(|(entry, _)| entry.clone()).collect();
             let before = mem::replace(&mut self.state, Arc::new(state.clone()));
             self.on_folded(now);
+            self.pass_on(now, new);
             self.track_moves(now, &before);
         }
     }
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -45,13 +45,13 @@
         let renewals = identity.holder.due(now);
         let me = identity.me;
         for renewal in renewals {
-            self.send_renewal(me, renewal);
+            self.send_renewal(now, me, renewal);
         }
         self.publish_lease(now);
         self.count_loss(now);
     }
 
-    fn send_renewal(&self, me: MemberId, renewal: Renewal) {
+    fn send_renewal(&self, now: Time, me: MemberId, renewal: Renewal) {
         let Some(to) = self.state.member(renewal.lessor).and_then(peer_address) else { return };
         let renew = Renew {
             holder: me.0,
@@ -60,6 +60,7 @@
             version: renewal.version,
             applied: self.state.next(),
             declared: self.context.declarations.version(),
+            age: self.log_age(now),
         };
         let datagram = Datagram { body: Some(datagram::Body::Renew(renew)) };
         self.context.transport.send(to, &datagram, renewal.reconnect);
@@ -94,6 +95,7 @@
             Some(datagram::Body::Grant(grant)) => {
                 self.catch_up(now, from, grant.applied);
                 self.fetch_declaration(now, from, grant.declared);
+                self.observe_age(now, grant.applied, grant.age);
                 self.on_grant(now, &grant);
             }
             Some(datagram::Body::Loads(loads)) => self.on_loads(now, &loads),
@@ -104,7 +106,9 @@
     fn on_renew(&mut self, now: Time, from: SocketAddr, renew: &Renew) {
         self.catch_up(now, from, renew.applied);
         self.fetch_declaration(now, from, renew.declared);
+        self.observe_age(now, renew.applied, renew.age);
         self.require_record(renew.version);
+        let age = self.log_age(now);
         let Some(identity) = &mut self.identity else { return };
         if renew.lessor != identity.me.0 {
             return;
@@ -125,6 +129,7 @@
             granted: answer.granted,
             applied: self.state.next(),
             declared: self.context.declarations.version(),
+            age,
         };
         let datagram = Datagram { body: Some(datagram::Body::Grant(grant)) };
         self.context.transport.send(from, &datagram, false);
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod event;
 mod eviction;
+mod feed;
 mod fold;
 mod grant_mode;
 mod handover;
@@ -30,6 +31,7 @@
 use std::time::Duration;
 
 use acaciaring_core::balance::BalanceSettings;
+use acaciaring_core::fanout::{Fanout, Freshness, ReadMode};
 use acaciaring_core::lease::LeaseSettings;
 use acaciaring_core::route::Routes;
 use acaciaring_core::state::{Phase, Replica, State};
@@ -164,6 +166,10 @@
     balance: Balance,
     state: Arc<State>,
     progress: Progress,
+    /// Part of this member in passing records on.
+    fanout: Fanout,
+    freshness: Freshness,
+    read_mode: ReadMode,
     snapshots: Snapshots,
     voting: Voting,
     /// When the periodic maintenance last ran.
@@ -208,6 +214,9 @@
             balance: Balance::default(),
             state: Arc::default(),
             progress: Progress::default(),
+            fanout: Fanout::default(),
+            freshness: Freshness::default(),
+            read_mode: ReadMode::default(),
             snapshots: Snapshots::new(clock::now()),
             voting: Voting::default(),
             last_maintenance: Time::ZERO,
@@ -246,12 +255,14 @@
         match event {
             Event::Batch(batch, done) => {
                 self.on_batch(now, &batch);
+                self.freshness.observe(now);
                 // The reader thread may have ended.
                 let _ = done.send(());
             }
             // The log service has already delivered these records.
             Event::Relayed(batch) if batch.next < self.replica.position() => {}
             Event::Relayed(batch) => self.on_batch(now, &batch),
+            Event::Feed(feed) => self.on_feed(now, feed),
             Event::Datagram(from, datagram) => self.on_datagram(now, from, datagram),
             Event::Vote(vote) => self.on_vote(vote),
             Event::Released(release) => self.on_release(&release),
@@ -276,6 +287,7 @@
             Event::Declared(declared) => {
                 self.declared = Some(declared);
                 self.dirty = true;
+                self.pass_on(now, Vec::new());
             }
             Event::Stop(since) => self.stop(now, since),
             Event::CallersGone => self.callers_gone(),
@@ -291,6 +303,7 @@
         self.trust_members();
         self.update_members(now);
         self.find_draining();
+        self.update_fanout(now);
     }
 
     fn round(&mut self, now: Time) {
@@ -305,6 +318,7 @@
         self.answer_heartbeat(now);
         if now.since(self.last_maintenance) >= MAINTENANCE_INTERVAL {
             self.last_maintenance = now;
+            self.update_read_mode(now);
             self.proposals.expire(now);
             self.join(now);
             self.evict(now);
--- a/acaciaringd/src/gauges.rs
+++ b/acaciaringd/src/gauges.rs
@@ -1,5 +1,6 @@
 //! Thread that reports the gauges and flushes the metrics.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     metrics.gauge(Gauge::UnitsOwned, owned);
     metrics.gauge(Gauge::UnitsStandby, standby);
     metrics.gauge(Gauge::LogApplied, view.state.next().saturating_sub(1));
+    let reads = !shared.passed.load(Ordering::Acquire);
+    metrics.gauge(Gauge::LogReader, u64::from(reads));
     metrics.gauge(Gauge::LogSkipped, view.state.skipped());
     metrics.flush();
     Some(())
--- a/acaciaringd/src/handler.rs
+++ b/acaciaringd/src/handler.rs
@@ -61,6 +61,7 @@
                 self.gate.outcome(&outcome);
                 done(true)
             }
+            call::Body::Feed(feed) => self.notify_control(Event::Feed(feed)),
             call::Body::Records(records) => reply::Body::Records(self.records(&records)),
             call::Body::Append(append) => self.append(append).await,
             call::Body::Declaration(_) => reply::Body::Declaration(self.declarations.newest()),
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -131,6 +131,8 @@
         LogApplied = "log.applied", "offset";
         /// Records without effect: undecodable, repeated or rejected.
         LogSkipped = "log.skipped", "records";
+        /// 1 while this member reads the log service, 0 while others pass records on to it.
+        LogReader = "log.reader", "0 or 1";
         /// Load of this member relative to the mean of the loads that it knows, in thousandths.
         BalanceImbalance = "balance.imbalance", "thousandths";
         /// Requests in the deduplication state of this member.
--- a/acaciaringd/src/read_scheduler.rs
+++ b/acaciaringd/src/read_scheduler.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use acaciaring_core::fanout::ReadMode;
 use acaciaring_core::pace::ReadPacer;
 use acaciaring_core::{Offset, Time};
 use parking_lot::{Condvar, Mutex};
@@ -43,20 +44,30 @@
     /// Updates the next offset to read, the end of the log and the number of members that read it.
     pub(crate) fn folded(&self, next: Offset, end: Offset, members: usize) {
         let mut pace = self.pace.lock();
-        pace.folded(next);
-        pace.require(end);
+        pace.folded_until(next, end);
         pace.set_rate(members, self.rate);
+        pace.track_missing(clock::now());
+    }
+
+    /// Sets how records reach this member.
+    pub(crate) fn set_mode(&self, mode: ReadMode) {
+        self.pace.lock().set_mode(mode);
+        self.changed.notify_all();
     }
 
     /// Requests a read of all records before an offset.
     pub(crate) fn request_before(&self, end: Offset) {
-        self.pace.lock().require(end);
+        let mut pace = self.pace.lock();
+        pace.require(end);
+        pace.track_missing(clock::now());
         self.changed.notify_all();
     }
 
     /// Requests a read, for a record that may be in the log.
     pub(crate) fn request_read(&self) {
-        self.pace.lock().expect_record();
+        let mut pace = self.pace.lock();
+        pace.expect_record();
+        pace.track_missing(clock::now());
         self.changed.notify_all();
     }
 
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use acaciaring_core::route::{Route, Routes};
@@ -150,6 +150,10 @@
     pub(crate) declares: bool,
     /// True once a stop of this process was requested.
     pub(crate) stopping: AtomicBool,
+    /// True while other members pass records of the log on to this one.
+    pub(crate) passed: AtomicBool,
+    /// Number of members that read the log service; 0 before this member has joined.
+    pub(crate) readers: AtomicUsize,
     /// True once this member has a declared configuration.
     pub(crate) configured: AtomicBool,
     /// True once this process has joined; before, other members reject its connections.
