Assign a new service once its servers have attached, and fill newcomers together

Newcomers get standby roles before units, and each donor proposed one handoff at a time, to the lowest member in need first: the last one waited for all others.

A service that has never been assigned now waits until no server has attached for 1.5 s, 4 s at most. Donors hand roles to up to four members in one plan, each in its own order. A unit that is in a pending handoff is left out: the rejection of one record must not restore a role that another one still gives away.

--- a/acaciaring_core/src/balance/quotas.rs
+++ b/acaciaring_core/src/balance/quotas.rs
@@ -53,7 +53,11 @@
     let members = u32::try_from(summary.counts.len()).unwrap_or(u32::MAX);
     let fair = f64::from(standbys) / f64::from(members);
     let mut given = Vec::new();
-    for (member, wanted) in deficits(settings, summary, fair, |count| count.standbys) {
+    let mut deficits = deficits(settings, summary, fair, |count| count.standbys);
+    // Each donor has its own order, so that receivers are filled together. With the same order at
+    // all donors, the last of several newcomers had no unit for half a minute.
+    deficits.sort_by_key(|(member, _)| rendezvous_hash(view.local.0, member.0));
+    for (member, wanted) in deficits {
         let donors = donors(summary, |count| count.standbys, |_| u32::MAX);
         let quota = quota(view.local, member, &donors, wanted, floor(settings, fair));
         let mut transferable = transferable(view, member);
--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod selector;
 pub mod state;
 mod time;
+pub mod vacancy;
 mod verdict;
 
 pub use crate::id::{KeyHash, MemberId, Name, Offset, RequestId, Slot, Token, UnitId};
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -25,6 +25,9 @@
 /// Maximum number of owners that one load report is sent to.
 const REPORTS_PER_ROUND: usize = 12;
 
+/// Maximum number of members that are handed standby roles in one plan.
+const HANDOFFS_PER_PLAN: usize = 4;
+
 /// Weights of a service without a published document.
 const DEFAULT_WEIGHTS: Weights = Weights { churn: 1_000, downtime: 1_000 };
 
@@ -227,7 +230,7 @@
         debug!(%workspace, ?plan, "balancing plan");
         let moved = self.propose_switchovers(now, &workspace, &plan);
         self.balance.history.record_plan(now, &Plan { switchovers: moved, ..Plan::default() });
-        self.propose_handoff(now, &workspace, &plan);
+        self.propose_handoffs(now, &workspace, &plan);
         self.propose_splits(now, &workspace, &plan);
         self.propose_merges(now, &workspace, &plan);
     }
@@ -307,20 +310,42 @@
         if proposed { units } else { Vec::new() }
     }
 
-    /// Proposes to transfer standby roles to one member at a time.
+    /// Proposes to transfer standby roles, with a record for each of a few members.
+    fn propose_handoffs(&mut self, now: Time, workspace: &Name, plan: &Plan) {
+        let mut targets: Vec<MemberId> = Vec::new();
+        for (_, target) in &plan.handoffs {
+            if !targets.contains(target) {
+                targets.push(*target);
+            }
+        }
+        for target in targets.into_iter().take(HANDOFFS_PER_PLAN) {
+            let given = plan.handoffs.iter().filter(|(_, to)| *to == target);
+            let units = given.map(|(unit, _)| *unit).collect();
+            self.propose_handoff(now, workspace, units, target);
+        }
+    }
+
+    /// Proposes to transfer standby roles to one member.
     ///
     /// The roles are renounced before the record is appended: once another member may hold them,
     /// this one must not take over.
-    fn propose_handoff(&mut self, now: Time, workspace: &Name, plan: &Plan) {
-        let Some((_, target)) = plan.handoffs.first().copied() else { return };
-        let purpose = Purpose::Handoff(Arc::clone(workspace));
+    fn propose_handoff(
+        &mut self,
+        now: Time,
+        workspace: &Name,
+        mut units: Vec<UnitId>,
+        target: MemberId,
+    ) {
+        let purpose = Purpose::Handoff(Arc::clone(workspace), target);
         if self.proposals.pending(&purpose) {
             return;
         }
-        let given = plan.handoffs.iter().filter(|(_, to)| *to == target).map(|(unit, _)| *unit);
-        // The local upstream may still hold a unit that was taken over.
-        let units: Vec<UnitId> =
-            given.filter(|unit| !self.upstream_holds(now, workspace, *unit)).collect();
+        // The local upstream may still hold a unit that was taken over. With two pending records for
+        // a role, the rejection of one would restore it while the other may still give it away.
+        units.retain(|unit| {
+            !self.upstream_holds(now, workspace, *unit)
+                && !self.proposals.renounces(workspace, *unit)
+        });
         let messages = self.unit_messages(workspace, &units);
         if messages.is_empty() {
             return;
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -35,6 +35,7 @@
 use acaciaring_core::lease::LeaseSettings;
 use acaciaring_core::route::Routes;
 use acaciaring_core::state::{Phase, Replica, State};
+use acaciaring_core::vacancy::Vacancy;
 use acaciaring_core::{MemberId, Name, Time};
 use acaciaring_schema::log::{Join, record};
 use acaciaring_schema::settings::Upstream;
@@ -161,8 +162,8 @@
     handover: Handover,
     /// Reasons to evict other members.
     eviction_reasons: EvictionReasons,
-    /// When each workspace was first seen with slots that have no owner.
-    vacant: HashMap<Name, Time>,
+    /// Workspaces with slots that have no owner.
+    vacant: HashMap<Name, Vacancy>,
     balance: Balance,
     state: Arc<State>,
     progress: Progress,
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -6,6 +6,7 @@
 use acaciaring_core::rights::Rights;
 use acaciaring_core::route::Division;
 use acaciaring_core::state::{Folded, Outcome, Service};
+use acaciaring_core::vacancy::Vacancy;
 use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Assign, Attach, Lessors, record};
 use tracing::info;
@@ -18,9 +19,6 @@
 use crate::metrics::Counter;
 use crate::view::UpstreamEndpoint;
 
-/// Time for which slots stay without owner before they are assigned, so that more members can join.
-const ASSIGN_DELAY: Duration = Duration::from_secs(1);
-
 /// Slots of a declared service.
 ///
 /// Each slot covers 16 key numbers, so that a few busy neighbouring keys fall into several slots;
@@ -135,8 +133,14 @@
         let vacant: Vec<Name> = services.chain(self.unrecorded()).collect();
         self.vacant.retain(|workspace, _| vacant.contains(workspace));
         for workspace in vacant {
-            let since = *self.vacant.entry(Arc::clone(&workspace)).or_insert(now);
-            if now.since(since) < ASSIGN_DELAY + RANK_DELAY * rank {
+            let servers = self.state.members_of(&workspace).filter(|member| member.alive()).count();
+            let first = self.state.service(&workspace).is_none_or(|service| {
+                service.slots.iter().all(|assignment| assignment.owner.is_none())
+            });
+            let vacancy = self.vacant.entry(Arc::clone(&workspace));
+            let vacancy = vacancy.or_insert(Vacancy::new(now, servers));
+            vacancy.observe(now, servers);
+            if !vacancy.is_due(now - RANK_DELAY * rank, first) {
                 continue;
             }
             let slots = self.slots(&workspace);
--- a/acaciaringd/src/control/proposal.rs
+++ b/acaciaringd/src/control/proposal.rs
@@ -32,7 +32,7 @@
     Lessors,
     Assign(Name),
     Switchover(Name),
-    Handoff(Name),
+    Handoff(Name, MemberId),
     Split(Name),
     Merge(Name),
     Leave,
@@ -109,6 +109,12 @@
         true
     }
 
+    /// Returns true while the standby role for a unit is renounced for an open proposal.
+    pub(crate) fn renounces(&self, workspace: &Name, unit: UnitId) -> bool {
+        let mut renounced = self.open.values().flat_map(|proposal| &proposal.renounced);
+        renounced.any(|(name, other, _)| *other == unit && name == workspace)
+    }
+
     /// Appends a record without tracking its outcome.
     pub(crate) fn append(&self, record: Record) {
         if let Ok(id) = RecordId::try_from(record.id.as_slice()) {
