Choose no lessor that a later process on its VM has replaced

A process that starts again is a new member; its former identity counts as alive until the later one is attached. Members chose such identities as lessors until they had not answered for three renewals. Proposals now leave them out.

--- a/acaciaring_core/src/state/lessors.rs
+++ b/acaciaring_core/src/state/lessors.rs
@@ -1,6 +1,6 @@
 //! Selection of lessors: spread over data centres and balanced over members.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use acaciaring_schema::log;
 
@@ -60,6 +60,21 @@
         self.better_lessors_excluding(member, &[])
     }
 
+    /// Returns the identities whose process has ended, as a later one runs on its VM and address.
+    #[must_use]
+    pub fn superseded(&self) -> Vec<MemberId> {
+        let mut latest: HashMap<(&str, &str), MemberId> = HashMap::new();
+        for member in self.members.values() {
+            // Members are in the order of their ids.
+            latest.insert((&member.vm, &member.peer), member.id);
+        }
+        let is_latest = |member: &&Member| {
+            latest.get(&(&*member.vm, &*member.peer)).is_some_and(|id| *id == member.id)
+        };
+        let superseded = self.members.values().filter(|member| !is_latest(member));
+        superseded.filter(|member| member.alive()).map(|member| member.id).collect()
+    }
+
     /// Same as [`State::better_lessors`], without the lessors in `unresponsive`.
     #[must_use]
     pub fn better_lessors_excluding(
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -95,7 +95,9 @@
     ///
     /// A member that holds its lease first obtains grants from the new lessors. One without lease
     /// and units leaves out lessors that do not answer: it would otherwise have no lease until dead
-    /// ones are evicted, for example after a restart of all VMs in which some do not return.
+    /// ones are evicted, for example after a restart of all VMs in which some do not return. No
+    /// member chooses an identity that a later process on the same VM has replaced: after a restart
+    /// of all processes, half of all identities are such ones until the later ones are attached.
     pub(super) fn improve_lessors(&mut self, now: Time) {
         let Some(identity) = &mut self.identity else { return };
         let Some(member) = self.state.member(identity.me) else { return };
@@ -104,8 +106,11 @@
         }
         let holds = identity.holder.holds(now);
         let skips_silent = !holds && is_unassigned(&self.state, identity.me);
-        let silent = if skips_silent { identity.holder.unresponsive() } else { Vec::new() };
-        let Some(lessors) = self.state.better_lessors_excluding(member, &silent) else {
+        let mut excluded = self.state.superseded();
+        if skips_silent {
+            excluded.extend(identity.holder.unresponsive());
+        }
+        let Some(lessors) = self.state.better_lessors_excluding(member, &excluded) else {
             return identity.holder.prepare(&[]);
         };
         if holds && !identity.holder.ready(now, &lessors) {
