--- a/acaciaring_core/tests/fanout.rs
+++ b/acaciaring_core/tests/fanout.rs
@@ -11,36 +11,29 @@
 use proptest::prelude::*;
 use prost::Message;
 
-/// Returns the record of member `number`, which joins at offset `number + 1`.
-fn join(number: u64, centres: u64) -> Record {
+/// Returns a record with this body and an id that only it has.
+fn record(number: u64, body: record::Body) -> Vec<u8> {
+    let mut id = vec![0; 16];
+    id[..8].copy_from_slice(&number.to_be_bytes());
+    Record { id, body: Some(body) }.encode_to_vec()
+}
+
+/// Returns the record by which the process of a VM joins; `number` tells records apart.
+fn join(number: u64, vm: u64, centres: u64) -> Vec<u8> {
     let join = Join {
-        vm: format!("vm-{number}"),
+        vm: format!("vm-{vm}"),
         nonce: number,
-        data_centre: format!("centre-{}", number % centres),
+        data_centre: format!("centre-{}", vm % centres),
         region: "region".into(),
         ..Join::default()
     };
-    Record { id: vec![u8::try_from(number % 251).unwrap_or(0); 16], body: None }
-        .with(record::Body::Join(join), number)
-}
-
-trait With {
-    fn with(self, body: record::Body, number: u64) -> Self;
-}
-
-impl With for Record {
-    /// Sets the body and an id that only this record has.
-    fn with(mut self, body: record::Body, number: u64) -> Self {
-        self.id[..8].copy_from_slice(&number.to_be_bytes());
-        self.body = Some(body);
-        self
-    }
+    record(number, record::Body::Join(join))
 }
 
 /// Returns the state after all members have joined.
 fn fleet(members: u64, centres: u64) -> State {
     let mut replica = Replica::default();
-    let entries = (0..members).map(|number| join(number, centres).encode_to_vec()).collect();
+    let entries = (0..members).map(|number| join(number, number, centres)).collect();
     let batch = Batch { oldest: 1, next: members + 1, start: 1, entries };
     replica.apply_batch(&batch).expect("the records fold");
     replica.state().clone()
@@ -128,14 +121,10 @@
 fn a_restarted_process_keeps_its_place() {
     let members = 60;
     let mut replica = Replica::default();
-    let mut entries: Vec<Vec<u8>> =
-        (0..members).map(|number| join(number, 3).encode_to_vec()).collect();
-    let mut again = join(7, 3);
-    again.id[0] = 1;
-    entries.push(again.encode_to_vec());
+    let mut entries: Vec<Vec<u8>> = (0..members).map(|number| join(number, number, 3)).collect();
+    entries.push(join(members, 7, 3));
     let evict = Evict { member: 8, successor: members + 1, version: 8, ..Evict::default() };
-    entries
-        .push(Record { id: vec![9; 16], body: Some(record::Body::Evict(evict)) }.encode_to_vec());
+    entries.push(record(members + 1, record::Body::Evict(evict)));
     let next = entries.len() as u64 + 1;
     replica.apply_batch(&Batch { oldest: 1, next, start: 1, entries }).expect("the records fold");
     let (before, after) = (fleet(members, 3), replica.state().clone());
