--- a/acaciaring_core/src/balance/quotas.rs
+++ b/acaciaring_core/src/balance/quotas.rs
@@ -54,8 +54,8 @@
     let fair = f64::from(standbys) / f64::from(members);
     let mut given = Vec::new();
     let mut deficits = deficits(settings, summary, fair, |count| count.standbys);
-    // Each donor has its own order, so that receivers are filled together. With the same order at
-    // all donors, the last of several newcomers had no unit for half a minute.
+    // Each donor has its own order, so that receivers are filled together. With one order at all
+    // donors, the last of several newcomers would wait for all others.
     deficits.sort_by_key(|(member, _)| rendezvous_hash(view.local.0, member.0));
     for (member, wanted) in deficits {
         let donors = donors(summary, |count| count.standbys, |_| u32::MAX);
--- a/acaciaring_core/src/fanout.rs
+++ b/acaciaring_core/src/fanout.rs
@@ -12,6 +12,8 @@
 use crate::time::Time;
 
 /// Members up to which each one reads the log service itself.
+///
+/// In a smaller fleet, passing records on saves little and delays each of them.
 const MAX_DIRECT_FLEET: usize = 16;
 
 /// Minimum number of readers, so that the loss of one does not stop the others.
@@ -25,7 +27,7 @@
 
 /// Age of what a member knows of the log from which it reads the log service itself.
 ///
-/// Above the time in which the age of a reader's last read reaches all members by lease renewals.
+/// Above the time in which lease renewals carry the age of a reader's last read to all members.
 pub const MAX_AGE: Duration = Duration::from_secs(4);
 
 /// Time for which a member waits for a required record to be passed on before it reads it itself.
