Read the configuration at the store at every member again

It came into force at 11.83 s, when one of the readers was served again, though two thirds of the members could have read it: what shows that readers are cut off, the age of the log, takes four seconds, and other members that read the log for a moment refresh it.

Every member watches the configuration at the store again, as before records were passed on: together they begin four reads a second at rest, whatever their number, and one each for a change. Only the log is read by few.

--- a/acaciaringd/src/poll_wait.rs
+++ b/acaciaringd/src/poll_wait.rs
@@ -1,4 +1,4 @@
-//! Reads that wait for something new at a service of the platform: whether and for how long.
+//! Duration of reads that wait for something new at a service of the platform.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -24,16 +24,19 @@
     /// Returns how long the next read may wait, a random time so that members read in turn.
     #[must_use]
     pub fn next(&self) -> Duration {
+        pace::poll_wait(self.members(), self.longest, rand::random())
+    }
+
+    /// The same for a read of the log, which in a wide fleet few members read.
+    pub(crate) fn next_log_read(&self) -> Duration {
         let readers = match self.shared.readers.load(Ordering::Acquire) {
-            0 => self.shared.view().state.members().filter(|member| Member::alive(member)).count(),
+            0 => self.members(),
             readers => readers,
         };
         pace::poll_wait(readers, self.longest, rand::random())
     }
 
-    /// Returns false while other members pass on what is new, so that this one need not read.
-    #[must_use]
-    pub fn is_needed(&self) -> bool {
-        !self.shared.passed.load(Ordering::Acquire)
+    fn members(&self) -> usize {
+        self.shared.view().state.members().filter(|member| Member::alive(member)).count()
     }
 }
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -87,7 +87,7 @@
     /// Reads from the log service, else from another member.
     fn read(&mut self, from: u64) -> Option<Batch> {
         // The first read must not block: the start would be delayed until there is a new record.
-        let wait = if self.has_read { self.polls.next() } else { Duration::ZERO };
+        let wait = if self.has_read { self.polls.next_log_read() } else { Duration::ZERO };
         match self.log.read(from, READ_LIMIT, wait) {
             Ok(batch) => {
                 self.has_read = true;
