--- a/acaciaring_core/src/fanout.rs
+++ b/acaciaring_core/src/fanout.rs
@@ -27,7 +27,8 @@
 
 /// Age of what a member knows of the log from which it reads the log service itself.
 ///
-/// Above the time in which lease renewals carry the age of a reader's last read to all members.
+/// Above the time in which lease renewals carry the age of a reader's last read to all members. With
+/// rarer renewals, members read the log service themselves.
 pub const MAX_AGE: Duration = Duration::from_secs(4);
 
 /// Time for which a member waits for a required record to be passed on before it reads it itself.
