Count a copy of the log as complete only by the log service's word

A reader that was cut off from the log service read records from another member instead, and its copy then counted as complete at that moment. It confirmed the copies of others by lease messages, so a fleet whose readers were all cut off could go on waiting for them. The answer of another member also ended the wait for a required record, as did a read that was under way when the record became required, though both may lack it.

Batches now state where they were read, and only an answer of the log service confirms the copy, at the time of the answer and once all up to its end is folded. A read ends the wait only for what was required when it began. Records that are passed on with offsets that do not fit their number are refused, with a line that names the sender.

The test of the reader does not compile on the code before, which has no origin of a batch; that of the pacer is new as well. Looked for elsewhere: records fetched from members that are ahead, and those that are passed on, do not confirm by themselves.

--- a/acaciaring_core/src/pace.rs
+++ b/acaciaring_core/src/pace.rs
@@ -47,6 +47,8 @@
     mode: ReadMode,
     /// Time since which a required record has not been passed on.
     missing_since: Option<Time>,
+    /// Offset that was required when the present read began.
+    sought: Offset,
     /// True when the last read ended before the end of the log.
     partial: bool,
 }
@@ -64,16 +66,27 @@
         self.next
     }
 
-    /// Records that a read was answered.
-    pub fn answered(&mut self, now: Time) {
-        self.last_read = now;
-        if self.mode == ReadMode::Passed {
-            // The answer contains all records that existed before, so the rest was expected in vain.
+    /// Records that a read begins.
+    pub const fn begin(&mut self) {
+        self.sought = self.required;
+    }
+
+    /// Records that the log service has answered a read.
+    pub const fn answered(&mut self, now: Time) {
+        self.answered_by_member(now);
+        if matches!(self.mode, ReadMode::Passed) && self.required <= self.sought {
+            // The answer contains all records that existed when the read began, so the rest was
+            // expected in vain.
             self.required = 0;
             self.missing_since = None;
         }
     }
 
+    /// Records that another member has answered a read, which may lack records of the log.
+    pub const fn answered_by_member(&mut self, now: Time) {
+        self.last_read = now;
+    }
+
     /// Sets the offset after the last folded record.
     pub const fn folded(&mut self, next: Offset) {
         self.next = next;
--- a/acaciaring_core/tests/fanout.rs
+++ b/acaciaring_core/tests/fanout.rs
@@ -181,10 +181,31 @@
     pacer.track_missing(now);
     let later = now + PASS_TIMEOUT;
     assert_eq!(pacer.remaining(later), Duration::ZERO);
+    pacer.begin();
     pacer.answered(later);
     assert!(!pacer.remaining(later + PASS_TIMEOUT * 2).is_zero());
 }
 
+/// Guards against a record that is never read: one that is required while a read is under way may
+/// be missing in its answer, and in that of another member any may be.
+#[test]
+fn a_read_does_not_end_the_wait_for_a_record_that_it_may_lack() {
+    let mut pacer = ReadPacer::new();
+    pacer.set_mode(ReadMode::Passed);
+    pacer.folded_until(7, 7);
+    let now = Time::from_millis(1000);
+    pacer.begin();
+    pacer.require(9);
+    pacer.track_missing(now);
+    pacer.answered(now);
+    assert_eq!(pacer.remaining(now + PASS_TIMEOUT), Duration::ZERO);
+    pacer.begin();
+    pacer.answered_by_member(now);
+    assert_eq!(pacer.remaining(now + PASS_TIMEOUT), Duration::ZERO);
+    pacer.answered(now);
+    assert!(!pacer.remaining(now + PASS_TIMEOUT).is_zero());
+}
+
 /// Guards against a pause between the pages of a long log.
 #[test]
 fn the_next_page_of_a_log_is_read_at_once() {
--- a/acaciaring_core/tests/fanout_schedule.rs
+++ b/acaciaring_core/tests/fanout_schedule.rs
@@ -261,6 +261,7 @@
             }
             None if member.pacer.remaining(now).is_zero() => {
                 let wait = poll_wait(member.fanout.readers, LONGEST_WAIT, random);
+                member.pacer.begin();
                 member.reading = Some(Read { from: member.next, until: now + wait });
                 self.reads += 1;
             }
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -15,11 +15,12 @@
 use crate::announce::Announcement;
 use crate::declared::Declared;
 use crate::heartbeat::{Heartbeat, HeartbeatReply};
+use crate::reader::Origin;
 
 /// Event for the control thread.
 pub(crate) enum Event {
-    /// Records of the log service; the sender is notified once they are folded.
-    Batch(Batch, Sender<()>),
+    /// Records that were read; the sender is notified once they are folded.
+    Batch(Batch, Origin, Sender<()>),
     /// Records of the log, fetched from another member.
     Relayed(Batch),
     /// Records of the log, passed on by another member.
--- a/acaciaringd/src/control/feed.rs
+++ b/acaciaringd/src/control/feed.rs
@@ -11,6 +11,7 @@
 use tracing::{debug, warn};
 
 use super::Control;
+use crate::reader::Origin;
 use crate::view::peer_address;
 use crate::wire;
 
@@ -73,6 +74,12 @@
             debug!(%member, position, next = batch.next, "records passed on are already folded");
             return;
         }
+        if batch.start + batch.entries.len() as u64 != batch.next {
+            let (start, next) = (batch.start, batch.next);
+            warn!(%member, start, next, "records passed on do not match their offsets");
+            return;
+        }
+        let batch = Batch { oldest: batch.start, ..batch };
         if batch.start > position {
             debug!(%member, position, start = batch.start, "records passed on skip an offset");
             return self.fetch_records(now, from, position);
@@ -86,6 +93,16 @@
         self.observe_age(now, batch.next, feed.age);
     }
 
+    /// Records that this member's copy was complete when the log service answered a read, if all
+    /// records up to the end at that time are folded.
+    pub(super) fn observe_read(&mut self, origin: Origin, end: Offset) {
+        if let Origin::Service(at) = origin
+            && end <= self.state.next().max(1)
+        {
+            self.freshness.observe(at);
+        }
+    }
+
     /// Returns the time since this member's copy of the log was known to be complete, in
     /// milliseconds plus one, 0 when not known.
     pub(super) fn log_age(&self, now: Time) -> u32 {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -254,9 +254,9 @@
 
     fn handle(&mut self, now: Time, event: Event) {
         match event {
-            Event::Batch(batch, done) => {
+            Event::Batch(batch, origin, done) => {
                 self.on_batch(now, &batch);
-                self.freshness.observe(now);
+                self.observe_read(origin, batch.next);
                 // The reader thread may have ended.
                 let _ = done.send(());
             }
--- a/acaciaringd/src/read_scheduler.rs
+++ b/acaciaringd/src/read_scheduler.rs
@@ -30,17 +30,23 @@
         loop {
             let left = pace.remaining(clock::now());
             if left.is_zero() {
+                pace.begin();
                 return pace.next();
             }
             self.changed.wait_for(&mut pace, left);
         }
     }
 
-    /// Records that a read was answered.
+    /// Records that the log service has answered a read.
     pub(crate) fn answered(&self, now: Time) {
         self.pace.lock().answered(now);
     }
 
+    /// Records that another member has answered a read.
+    pub(crate) fn answered_by_member(&self, now: Time) {
+        self.pace.lock().answered_by_member(now);
+    }
+
     /// Updates the next offset to read, the end of the log and the number of members that read it.
     pub(crate) fn folded(&self, next: Offset, end: Offset, members: usize) {
         let mut pace = self.pace.lock();
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use acaciaring_core::Time;
 use acaciaring_schema::log::Batch;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use tracing::{info, warn};
@@ -33,6 +34,15 @@
 /// Reads records from another member when the log service cannot be reached.
 pub(crate) type Relay = Box<dyn Fn(u64, u32) -> Option<Batch> + Send>;
 
+/// Where a batch of records was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// At the log service, which answered at this time.
+    Service(Time),
+    /// At another member, which may lack records of the log.
+    Member,
+}
+
 /// Starts the thread; it sends each batch as an event and ends with the receiver.
 pub(crate) fn start(
     log: Arc<dyn LogService>,
@@ -73,19 +83,22 @@
     fn run(mut self) {
         loop {
             let from = self.read_scheduler.wait();
-            let Some(batch) = self.read(from) else {
+            let Some((batch, origin)) = self.read(from) else {
                 thread::sleep(self.backoff.pause());
                 continue;
             };
-            self.read_scheduler.answered(clock::now());
-            if !self.deliver(batch) {
+            match origin {
+                Origin::Service(at) => self.read_scheduler.answered(at),
+                Origin::Member => self.read_scheduler.answered_by_member(clock::now()),
+            }
+            if !self.deliver(batch, origin) {
                 return;
             }
         }
     }
 
     /// Reads from the log service, else from another member.
-    fn read(&mut self, from: u64) -> Option<Batch> {
+    fn read(&mut self, from: u64) -> Option<(Batch, Origin)> {
         // The first read must not block: the start would be delayed until there is a new record.
         let wait = if self.has_read { self.polls.next_log_read() } else { Duration::ZERO };
         match self.log.read(from, READ_LIMIT, wait) {
@@ -96,25 +109,28 @@
                     info!("log service can be read again");
                 }
                 self.failing = false;
-                Some(batch)
+                Some((batch, Origin::Service(clock::now())))
             }
             Err(error) => {
                 if !self.failing {
                     warn!(%error, "cannot read from the log service, reading from other members");
                 }
                 self.failing = true;
-                (self.relay)(from, RELAY_LIMIT)
+                (self.relay)(from, RELAY_LIMIT).map(|batch| (batch, Origin::Member))
             }
         }
     }
 
     /// Sends a batch to the control thread and waits until it is folded, so that the next read
     /// starts after it; returns false when the control thread has ended.
-    fn deliver(&self, batch: Batch) -> bool {
+    fn deliver(&self, batch: Batch, origin: Origin) -> bool {
         let (done, folded): (Sender<()>, Receiver<()>) = bounded(1);
-        if self.events.send(Event::Batch(batch, done)).is_err() {
+        if self.events.send(Event::Batch(batch, origin, done)).is_err() {
             return false;
         }
         folded.recv().is_ok()
     }
 }
+
+#[cfg(test)]
+mod tests;
