Pass over reads of the log that pushed records have overtaken

Nothing was lost, but the line says that the log has lost its end.

Such a read began within the log; one of a log that has lost its end begins beyond it. Records fetched from other members were passed over already.

--- a/acaciaring_core/src/state/replica.rs
+++ b/acaciaring_core/src/state/replica.rs
@@ -154,6 +154,13 @@
         Ok(folded)
     }
 
+    /// Returns true for a batch that ends before the position although it was read from within the
+    /// log, because later records were folded while it was read.
+    #[must_use]
+    pub fn is_overtaken(&self, batch: &Batch) -> bool {
+        batch.next < self.position() && batch.start <= batch.next
+    }
+
     fn process_record(&mut self, offset: Offset, entry: &[u8], folded: &mut Vec<Folded>) {
         let record = Decoded::from_bytes(entry);
         let snapshot = record.as_ref().and_then(|record| self.assemble(offset, &record.body));
--- a/acaciaring_core/tests/fold/replica.rs
+++ b/acaciaring_core/tests/fold/replica.rs
@@ -4,7 +4,7 @@
 use acaciaring_core::route::DocumentKind::Template;
 use acaciaring_core::state::snapshot::chunk;
 use acaciaring_core::state::{Outcome, Replica, ReplicaError};
-use acaciaring_schema::log::DocumentKind;
+use acaciaring_schema::log::{Batch, DocumentKind};
 use prost::Message;
 
 use crate::support::{DATA_CENTRES, Log, encode, join, publish, retire};
@@ -46,6 +46,21 @@
     assert_eq!(replica.state().skipped(), 2);
 }
 
+/// Guards against a read that counts as a fault of the log because later records were folded while
+/// it was under way, and against a log that has lost its end and counts as such a read.
+#[test]
+fn a_read_that_was_overtaken_differs_from_a_log_that_has_become_shorter() {
+    let log = Log::with_service(6, 8);
+    let mut replica = Replica::default();
+    replica.apply_batch(&log.batch(1, 1, 6)).expect("a batch from the start");
+    let position = replica.position();
+    let read = |from, next| Batch { oldest: 1, next, start: from, entries: Vec::new() };
+    assert!(replica.is_overtaken(&read(position - 2, position - 1)));
+    assert!(replica.is_overtaken(&read(position - 1, position - 1)));
+    assert!(!replica.is_overtaken(&read(position, position)));
+    assert!(!replica.is_overtaken(&read(position, position - 1)));
+}
+
 /// Guards against a diverging replica when batches are repeated, overlapping or lost: no record is
 /// folded twice or skipped.
 #[test]
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -255,12 +255,14 @@
     fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Batch(batch, origin, done) => {
-                self.on_batch(now, &batch);
+                if !self.replica.is_overtaken(&batch) {
+                    self.on_batch(now, &batch);
+                }
                 self.observe_read(origin, batch.next);
                 // The reader thread may have ended.
                 let _ = done.send(());
             }
-            // The log service has already delivered these records.
+            // Other ways have already delivered these records.
             Event::Relayed(batch) if batch.next < self.replica.position() => {}
             Event::Relayed(batch) => self.on_batch(now, &batch),
             Event::Feed(feed) => self.on_feed(now, feed),
