Let waits of a start and of the fan-out follow heartbeats and renewals

Three durations were set for one deployment: 1.5 and 4 s until a new service is assigned, and 4 s until a copy of the log is old. With servers that report each 3 s the first would assign before most have attached, and with renewals each 5 s all members would always read for themselves.

A new service now waits for two heartbeats without a further server, five at most (1.7 and 4.4 s where they come each 870 ms). A copy is old after the longest wait of a reader's read and four renewals (5.1 s with six data centres and renewals each 700 ms, 3.5 s with four and 500 ms).

--- a/acaciaring_core/src/fanout.rs
+++ b/acaciaring_core/src/fanout.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3;
 
 use crate::id::MemberId;
+use crate::pace::max_poll_wait;
 use crate::state::{Member, State};
 use crate::time::Time;
 
@@ -25,11 +26,8 @@
 /// Interval between two reads of a reader while records are appended.
 pub const READ_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Age of what a member knows of the log from which it reads the log service itself.
-///
-/// Above the time in which lease renewals carry the age of a reader's last read to all members. With
-/// rarer renewals, members read the log service themselves.
-pub const MAX_AGE: Duration = Duration::from_secs(4);
+/// Lease renewals in which the age of a reader's last read reaches all members.
+const CONFIRMING_RENEWALS: u32 = 4;
 
 /// Time for which a member waits for a required record to be passed on before it reads it itself.
 ///
@@ -94,6 +92,15 @@
         Self { wide: true, reads, readers, children }
     }
 
+    /// Returns the age of its copy of the log from which a member reads the log service itself.
+    ///
+    /// Covers the longest wait of a reader's read, and the lease renewals at this interval that carry
+    /// its age to all members.
+    #[must_use]
+    pub fn max_age(&self, renewal: Duration) -> Duration {
+        max_poll_wait(self.readers) + renewal * CONFIRMING_RENEWALS
+    }
+
     /// Returns how this member reads, given whether it has its lease and a stale copy of the log.
     ///
     /// A member without lease is in doubt about its own records or cut off from others, and one
@@ -128,9 +135,9 @@
         self.complete.map(|complete| now.since(complete))
     }
 
-    /// Returns true when the copy may lack records that others have.
+    /// Returns true when the copy is so old that it may lack records that others have.
     #[must_use]
-    pub fn is_stale(&self, now: Time) -> bool {
-        self.age(now).is_none_or(|age| age >= MAX_AGE)
+    pub fn is_stale(&self, now: Time, max_age: Duration) -> bool {
+        self.age(now).is_none_or(|age| age >= max_age)
     }
 }
--- a/acaciaring_core/src/pace.rs
+++ b/acaciaring_core/src/pace.rs
@@ -24,12 +24,21 @@
 /// 1, spreads the reads of members that began to wait together.
 #[must_use]
 pub fn poll_wait(members: usize, longest: Duration, random: f64) -> Duration {
-    let members = u32::try_from(members).unwrap_or(u32::MAX);
-    let average =
-        POLL_SPACING.saturating_mul(members).clamp(MIN_POLL_WAIT, longest.max(MIN_POLL_WAIT));
+    let average = average_poll_wait(members).min(longest.max(MIN_POLL_WAIT));
     average.mul_f64(0.5 + random.clamp(0.0, 1.0)).min(longest)
 }
 
+/// Returns the longest duration of a waiting read of one of `members` members.
+#[must_use]
+pub fn max_poll_wait(members: usize) -> Duration {
+    average_poll_wait(members).mul_f64(1.5)
+}
+
+fn average_poll_wait(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    POLL_SPACING.saturating_mul(members).max(MIN_POLL_WAIT)
+}
+
 /// Paces one member's reads of the log, so that the reads of all members keep to a common rate.
 ///
 /// Guards against a number of reads that grows with members times records, as each record ends the
--- a/acaciaring_core/src/vacancy.rs
+++ b/acaciaring_core/src/vacancy.rs
@@ -10,11 +10,13 @@
 /// Time for which slots stay without owner before they are assigned, so that more members can join.
 const ASSIGN_DELAY: Duration = Duration::from_secs(1);
 
-/// Time without a further server after which a new service is assigned.
-const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Heartbeats of a server without a further server, after which a new service is assigned.
+///
+/// A server attaches with its first heartbeat after the process beside it has a lease.
+const SETTLE_HEARTBEATS: u32 = 2;
 
-/// Longest time for which a new service waits for further servers.
-const MAX_SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Heartbeats for which a new service waits for further servers at most.
+const MAX_SETTLE_HEARTBEATS: u32 = 5;
 
 /// Slots of one service without owner, and the servers that may own them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,14 +43,15 @@
         }
     }
 
-    /// Returns true when the slots are to be assigned.
+    /// Returns true when the slots are to be assigned, given the interval of servers' heartbeats.
     ///
     /// A service that has never been assigned waits until no further servers attach; slots that
     /// have lost their owner do not, as callers wait for them.
     #[must_use]
-    pub fn is_due(&self, now: Time, first: bool) -> bool {
-        let settled = now.since(self.changed) >= SETTLE_TIME;
-        let waits = first && !settled && now.since(self.since) < MAX_SETTLE_TIME;
+    pub fn is_due(&self, now: Time, first: bool, heartbeat: Duration) -> bool {
+        let settled = now.since(self.changed) >= heartbeat * SETTLE_HEARTBEATS;
+        let longest = heartbeat * MAX_SETTLE_HEARTBEATS;
+        let waits = first && !settled && now.since(self.since) < longest;
         now.since(self.since) >= ASSIGN_DELAY && !waits
     }
 }
--- a/acaciaring_core/tests/fanout.rs
+++ b/acaciaring_core/tests/fanout.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use acaciaring_core::fanout::{Fanout, Freshness, MAX_AGE, PASS_TIMEOUT, READ_INTERVAL, ReadMode};
+use acaciaring_core::fanout::{Fanout, Freshness, PASS_TIMEOUT, READ_INTERVAL, ReadMode};
 use acaciaring_core::pace::ReadPacer;
 use acaciaring_core::state::{Replica, State};
 use acaciaring_core::{MemberId, Time};
@@ -141,13 +141,26 @@
 #[test]
 fn a_copy_that_nobody_confirms_becomes_stale() {
     let mut freshness = Freshness::default();
-    assert!(freshness.is_stale(Time::from_millis(10)));
+    let max_age = Duration::from_secs(4);
+    assert!(freshness.is_stale(Time::from_millis(10), max_age));
     freshness.observe(Time::from_millis(1000));
     freshness.observe(Time::from_millis(500));
     let now = Time::from_millis(3000);
     assert_eq!(freshness.age(now), Some(Duration::from_secs(2)));
-    assert!(!freshness.is_stale(now));
-    assert!(freshness.is_stale(Time::from_millis(1000) + MAX_AGE));
+    assert!(!freshness.is_stale(now, max_age));
+    assert!(freshness.is_stale(Time::from_millis(1000) + max_age, max_age));
+}
+
+/// Guards against members that all read because renewals are rarer, or reads wait longer, than on
+/// the deployment for which an age was set.
+#[test]
+fn the_age_of_a_copy_follows_renewals_and_reads() {
+    let age = |centres, renewal| {
+        let state = fleet(60, centres);
+        Fanout::new(ids(&state)[0], &state).max_age(Duration::from_millis(renewal)).as_millis()
+    };
+    assert_eq!([500, 700, 5000].map(|renewal| age(4, renewal)), [3500, 4300, 21_500]);
+    assert_eq!(age(8, 700), 5800);
 }
 
 /// Guards against a read by each member for each of its own records, and against a record that is
--- a/acaciaring_core/tests/fanout_schedule.rs
+++ b/acaciaring_core/tests/fanout_schedule.rs
@@ -247,7 +247,8 @@
         let (now, end) = (self.now, self.end());
         let random = self.rng.random();
         let member = self.members.get_mut(&id).expect("a member");
-        let mode = member.fanout.mode(true, member.freshness.is_stale(now));
+        let stale = member.freshness.is_stale(now, member.fanout.max_age(RENEWAL));
+        let mode = member.fanout.mode(true, stale);
         member.mode = mode;
         member.pacer.set_mode(mode);
         match member.reading {
--- a/acaciaringd/src/control/feed.rs
+++ b/acaciaringd/src/control/feed.rs
@@ -29,7 +29,9 @@
     /// Updates whether this member reads the log service.
     pub(super) fn update_read_mode(&mut self, now: Time) {
         let leased = self.identity.as_ref().is_some_and(|identity| identity.holder.holds(now));
-        let mode = self.fanout.mode(leased, self.freshness.is_stale(now));
+        let max_age = self.fanout.max_age(self.context.lease.interval);
+        let stale = self.freshness.is_stale(now, max_age);
+        let mode = self.fanout.mode(leased, stale);
         if mode == self.read_mode {
             return;
         }
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -132,6 +132,7 @@
         if !identity.holder.holds(now) {
             return;
         }
+        let heartbeat = self.context.upstream.beat;
         let rank = self.state.snapshot_rank(identity.me);
         let rank = rank.and_then(|rank| u32::try_from(rank).ok()).unwrap_or(u32::MAX >> 8);
         let services = self.state.services().filter(|service| self.assignable(service)).map(name);
@@ -145,7 +146,7 @@
             let vacancy = self.vacant.entry(Arc::clone(&workspace));
             let vacancy = vacancy.or_insert(Vacancy::new(now, servers));
             vacancy.observe(now, servers);
-            if !vacancy.is_due(now - RANK_DELAY * rank, first) {
+            if !vacancy.is_due(now - RANK_DELAY * rank, first, heartbeat) {
                 continue;
             }
             let slots = self.slots(&workspace);
