Replay newcomers that join together as a test of the balance

The choice of a few receivers for each plan moves from the daemon to the core, and the simulated fleet makes only these handoffs, as the daemon does.

The test asks for a quarter of the fair number.

--- a/acaciaring_core/src/balance/mod.rs
+++ b/acaciaring_core/src/balance/mod.rs
@@ -29,6 +29,9 @@
 const MIN_SPEED: f64 = 0.1;
 const MAX_SPEED: f64 = 10.0;
 
+/// Maximum number of members that receive standby roles by one plan; each takes a record.
+const RECEIVERS_PER_PLAN: usize = 4;
+
 /// Reported load of a member.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
@@ -130,6 +133,20 @@
             && self.merges.is_empty()
             && self.handoffs.is_empty()
     }
+
+    /// Returns the handoffs to make now, a few receivers with their units.
+    #[must_use]
+    pub fn handoffs_by_receiver(&self) -> Vec<(MemberId, Vec<UnitId>)> {
+        let mut receivers: Vec<(MemberId, Vec<UnitId>)> = Vec::new();
+        for (unit, receiver) in &self.handoffs {
+            match receivers.iter_mut().find(|(id, _)| id == receiver) {
+                Some((_, units)) => units.push(*unit),
+                None => receivers.push((*receiver, vec![*unit])),
+            }
+        }
+        receivers.truncate(RECEIVERS_PER_PLAN);
+        receivers
+    }
 }
 
 /// Decides what to propose now.
--- a/acaciaring_core/tests/balance.rs
+++ b/acaciaring_core/tests/balance.rs
@@ -103,6 +103,33 @@
     assert!(elsewhere <= 6, "{elsewhere} units moved between the others");
 }
 
+// Guards against newcomers without units while the others are overloaded: donors that all serve
+// them in the same order leave the last one waiting for all others.
+#[test]
+fn newcomers_that_join_together_are_filled_together() {
+    let settings = FleetSettings {
+        members: 24,
+        slots: 1024,
+        rate: 9_000.0,
+        period: Duration::from_secs(2),
+        balance: BalanceSettings {
+            min_moves: 600,
+            cooldown: Duration::from_secs(10),
+            ..BalanceSettings::default()
+        },
+        ..FleetSettings::default()
+    };
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed, settings.clone());
+        fleet.run(MINUTE);
+        let newcomers: Vec<MemberId> = (0..8).map(|_| fleet.join()).collect();
+        fleet.run(Duration::from_secs(10));
+        let owned: Vec<usize> = newcomers.iter().map(|id| fleet.owned(*id)).collect();
+        println!("seed {seed}: {owned:?} of a fair number of {}", 1024 / 32);
+        assert!(owned.iter().all(|owned| *owned >= 1024 / 32 / 4), "seed {seed}: {owned:?}");
+    }
+}
+
 // Guards against a slow server that keeps its units because its health and request rate look
 // normal: its busy requests must count.
 #[test]
--- a/acaciaring_core/tests/support/fleet.rs
+++ b/acaciaring_core/tests/support/fleet.rs
@@ -394,10 +394,12 @@
                 self.record_unserved(*unit);
             }
         }
-        for (unit, target) in &plan.handoffs {
-            let assignment = *self.service.assignment(*unit).unwrap();
-            if assignment.standby == Some(id) && assignment.owner != Some(*target) {
-                self.set(*unit, Assignment { standby: Some(*target), ..assignment });
+        for (target, units) in plan.handoffs_by_receiver() {
+            for unit in units {
+                let assignment = *self.service.assignment(unit).unwrap();
+                if assignment.standby == Some(id) && assignment.owner != Some(target) {
+                    self.set(unit, Assignment { standby: Some(target), ..assignment });
+                }
             }
         }
         for unit in &plan.splits {
--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -25,9 +25,6 @@
 /// Maximum number of owners that one load report is sent to.
 const REPORTS_PER_ROUND: usize = 12;
 
-/// Maximum number of members that are handed standby roles in one plan.
-const HANDOFFS_PER_PLAN: usize = 4;
-
 /// Weights of a service without a published document.
 const DEFAULT_WEIGHTS: Weights = Weights { churn: 1_000, downtime: 1_000 };
 
@@ -312,15 +309,7 @@
 
     /// Proposes to transfer standby roles, with a record for each of a few members.
     fn propose_handoffs(&mut self, now: Time, workspace: &Name, plan: &Plan) {
-        let mut targets: Vec<MemberId> = Vec::new();
-        for (_, target) in &plan.handoffs {
-            if !targets.contains(target) {
-                targets.push(*target);
-            }
-        }
-        for target in targets.into_iter().take(HANDOFFS_PER_PLAN) {
-            let given = plan.handoffs.iter().filter(|(_, to)| *to == target);
-            let units = given.map(|(unit, _)| *unit).collect();
+        for (target, units) in plan.handoffs_by_receiver() {
             self.propose_handoff(now, workspace, units, target);
         }
     }
