Let a leaving upstream release its keys while the log service is away

Callers saw: while the log service is away, the keys of a draining server have no server for as long as the outage lasts. The gate refuses its requests a second after the word, and nobody else gets the keys.

Cause, found by reading and then by a test: a member whose `Leave` is not recorded within two seconds releases its units to their standbys under the recorded versions. A unit is released once the upstream no longer holds it, but the member stays its owner by the log, so each reply to a heartbeat granted it again, and orders by call renewed it.

Such units are left out of grants and orders from the moment at which the member closes. The standby waits for the release as before, and its token (version of the assignment) is above the owner's. When the `Leave` is recorded later, the standby becomes owner under a higher one and goes on.

--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use acaciaring_core::rights::Right;
+use acaciaring_core::state::Assignment;
 use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::peer::{Release, call, reply};
 use tracing::{debug, info};
@@ -67,8 +68,7 @@
             for (unit, assignment) in service.units() {
                 let owned = assignment.owner == me;
                 let former = !owned && [assignment.prior, assignment.prior_standby].contains(&me);
-                let closing = self.closed && assignment.owner == me && assignment.standby.is_some();
-                if former || closing {
+                if former || self.closing(assignment) {
                     let unit_key = (Arc::clone(&service.workspace), unit);
                     self.handover.draining.insert(unit_key, assignment.version);
                 }
@@ -85,6 +85,14 @@
             releases.filter(|release| !self.handover.acknowledged.contains(release)).collect();
     }
 
+    /// Returns true for a unit that this member releases to its standby without a `Leave` record.
+    ///
+    /// The upstream must not hold such a unit any longer, or it is never released.
+    pub(super) fn closing(&self, assignment: &Assignment) -> bool {
+        let me = self.identity.as_ref().map(|identity| identity.me);
+        self.closed && assignment.owner == me && assignment.standby.is_some()
+    }
+
     /// Releases units that have no requests in flight.
     ///
     /// The view without the permit is published before the requests in flight are counted, see
--- a/acaciaringd/src/control/orders.rs
+++ b/acaciaringd/src/control/orders.rs
@@ -38,6 +38,9 @@
         let mut wanted = Vec::with_capacity(units.len());
         for (unit, permit) in units {
             let Permit::Serve { token, .. } = *permit else { continue };
+            if service.assignment(*unit).is_some_and(|assignment| self.closing(assignment)) {
+                continue;
+            }
             let keys = service.key_ranges(*unit);
             let unit_key = (Arc::clone(workspace), *unit);
             let handover = self.roles.handovers.get(&unit_key);
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -258,14 +258,15 @@
 
     /// Returns the units that may be granted to the upstream now.
     fn grantable_units(&mut self, now: Time, state: &State, service: &Service) -> Vec<Wanted> {
-        let Some(identity) = &mut self.identity else { return Vec::new() };
+        let Some(identity) = &self.identity else { return Vec::new() };
         let me = Some(identity.me);
         let live = identity.live(now, state);
         let mut wanted = Vec::new();
         for (unit, assignment) in service.units() {
-            if assignment.owner != me && assignment.standby != me {
+            if (assignment.owner != me && assignment.standby != me) || self.closing(assignment) {
                 continue;
             }
+            let Some(identity) = &mut self.identity else { break };
             let right = identity.right(now, &live, &service.workspace, unit, assignment);
             let Right::Serve { token, .. } = right else { continue };
             let mut handover = None;
