End a closed member whose leave was rejected

Callers saw: the machine of a server that left while the log service was away serves nothing more until its process is restarted, also beside a new server, since its old member never ends.

Cause: of two members that leave together the second one's `Leave` is rejected where it became an owner by the first one's record. It then waits until it serves all that it owns before it proposes again. Where the log service was away for two seconds, the member has released its units to their standbys already, so it never serves them again, and waits for ever.

A closed member that waits so proposes `Exit` once all its releases are acknowledged, no request is in flight and its upstream holds nothing. `Exit` keeps `prior` and `prior_standby` of its units, so the standbys wait for the former owners whose releases the member itself still awaited. It takes over nothing as a standby from then on.

--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -101,7 +101,11 @@
             return;
         }
         if self.awaits_releases() {
-            return self.switch_over_served(now);
+            return if self.closed {
+                self.exit_released(now)
+            } else {
+                self.switch_over_served(now)
+            };
         }
         let Some(identity) = &mut self.identity else { return };
         let mut renounced: Vec<(Name, UnitId, Offset)> = Vec::new();
@@ -137,6 +141,22 @@
         self.submit(proposal, body);
     }
 
+    /// Proposes `Exit` once this closed member has released all units, after a rejected `Leave`.
+    ///
+    /// Guards against a member that never leaves: it serves none of the units that it has released,
+    /// so it must not propose `Leave` again. `Exit` leaves the former owners of its units in place,
+    /// so their releases are still awaited.
+    fn exit_released(&mut self, now: Time) {
+        if self.releasing(now) || self.has_live_grants(now) {
+            return;
+        }
+        if let Some(identity) = &mut self.identity {
+            identity.rights.leave();
+        }
+        self.dirty = true;
+        self.exit(now);
+    }
+
     /// Returns true while units are unreleased, in flight or held by the upstream.
     fn releasing(&self, now: Time) -> bool {
         !self.all_released() || self.holds_any(now)
