Keep earlier proposed lessor sets when a later one is rejected

What callers saw: none reported; found by review. A member could serve units beside another one that had taken them over.

Cause: a record of lessors that is not seen within five seconds is given up and another one proposed, but the log service may still append the first. When the second one was rejected, for a lessor that had left, the holder dropped all proposed sets. The first could then be recorded and counted by others, while a holder that lagged behind the log went on with grants by the former set alone.

The test tells it with three sets: the holder goes on by two of the first one, and the lessors of the given-up set vote at its version. Before the change it failed at the last line ("others take over": the lease was held although a tally proved it expired).

Only the latest proposed set is withdrawn. A rejected set stays rejected, for versions and phases only rise; a newer version in force still drops all proposed ones, which build on an older one.

--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -209,15 +209,17 @@
     pub fn propose(&mut self, lessors: &[MemberId]) {
         self.prepared.clear();
         let set = LessorSet::new(None, lessors);
-        if !self.sets.contains(&set) {
-            self.sets.push(set);
-        }
+        self.sets.retain(|other| *other != set);
+        self.sets.push(set);
         self.recompute();
     }
 
-    /// Drops proposed sets; may be called only when their records are known to be rejected.
+    /// Drops the latest proposed set; may be called only when its record is known to be rejected.
+    ///
+    /// Earlier proposed sets stay required: their records may have been given up and still be
+    /// appended, and others would then count votes by them.
     pub fn withdraw(&mut self) {
-        self.sets.retain(|set| set.version.is_some());
+        self.sets.pop_if(|set| set.version.is_none());
         self.recompute();
     }
 
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -11,6 +11,7 @@
 const B: MemberId = MemberId(2);
 const C: MemberId = MemberId(3);
 const D: MemberId = MemberId(4);
+const E: MemberId = MemberId(5);
 
 /// Settings of these tests; the renewal interval is 400 ms.
 fn settings() -> LeaseSettings {
@@ -170,6 +171,30 @@
     assert_eq!(holder.due(ms(400)).len(), older + 1, "the old set is still asked");
 }
 
+/// Guards against a takeover beside a holder that still has its lease: a record of lessors that was
+/// given up may be recorded after the rejection of a later one.
+#[test]
+fn rejected_set_leaves_earlier_proposed_ones_required() {
+    let mut holder = holder(&[A, B, C]);
+    renew(&mut holder, ms(0), &[A, B, C], 10);
+    holder.propose(&[B, D]);
+    holder.propose(&[C, E]);
+    holder.withdraw();
+    renew(&mut holder, ms(400), &[A, C], 10);
+    renew(&mut holder, ms(800), &[A, C], 10);
+    renew(&mut holder, ms(1200), &[A, C], 10);
+    // The first proposal is recorded at 20 and read by its lessors, but not by the holder.
+    let mut tally = Tally::new(settings());
+    for id in [B, D] {
+        let mut lessor = lessor(id);
+        lessor.join_set(ms(0), H, 20);
+        let vote = lessor.vote(ms(1400), H, true).expect("the holder does not renew");
+        tally.vote(id, vote.member, vote.version);
+    }
+    assert!(tally.expired(ms(1400), &member(20, &[B, D])));
+    assert!(!holder.holds(ms(1400)), "others take over");
+}
+
 #[test]
 fn majority_of_refusals_ends_the_identity() {
     let mut holder = holder(&[A, B, C]);
