Retire an identity that is refused only after its lease has expired

What callers saw: none reported; found by review. A server could hold units while another one was granted them, for as long as the last grants still ran.

Cause: lessors refuse renewals from the moment at which they stop, while what they granted before runs on. A member that two of three lessors refused retired at once and proposed its exit; standbys serve as soon as they read that. Its upstream holds by grant until the end of the lease, up to 1.3 s with the default settings.

The test lets two lessors refuse 400 ms after their last grant.

The refusals end the identity once its lease is over, as loss of the lessors already did. The lease cannot be renewed meanwhile, so nothing is served for longer; units are served until then instead of by nobody.

--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -305,13 +305,18 @@
         (!self.holds(now)).then(|| self.last_expiry.min(now))
     }
 
-    /// Returns true when too many lessors refuse for this identity ever to get a lease again.
+    /// Returns true when the lease has expired and too many lessors refuse for it to be renewed.
+    ///
+    /// Lessors that stop refuse renewals while their last grants still run, and the upstream may
+    /// hold units until those expire.
     #[must_use]
-    pub fn refused(&self) -> bool {
-        self.sets.iter().filter(|set| set.version.is_some()).any(|set| {
+    pub fn refused(&self, now: Time) -> bool {
+        let lacks = |set: &LessorSet| {
             let refused = set.lessors.iter().filter(|id| self.lessors[*id].refused).count();
             set.lessors.len() - refused < set.majority() && refused > 0
-        })
+        };
+        let mut recorded = self.sets.iter().filter(|set| set.version.is_some());
+        !self.holds(now) && recorded.any(lacks)
     }
 
     /// Returns true when the lease has expired and too many lessors are dead for it to be renewed.
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -200,9 +200,24 @@
     let mut holder = holder(&[A, B, C]);
     let renewals = holder.due(ms(0));
     holder.handle_grant(ms(1), A, seq_to(&renewals, A), false, 10);
-    assert!(!holder.refused());
+    assert!(!holder.refused(ms(1)));
     holder.handle_grant(ms(1), B, seq_to(&renewals, B), false, 10);
-    assert!(holder.refused());
+    assert!(holder.refused(ms(1)));
+}
+
+/// Guards against an identity that ends while its upstream still holds units by its lease: lessors
+/// that stop refuse renewals before the grants that they gave have expired.
+#[test]
+fn refusals_end_the_identity_only_after_its_lease() {
+    let mut holder = holder(&[A, B, C]);
+    renew(&mut holder, ms(0), &[A, B, C], 10);
+    let renewals = holder.due(ms(400));
+    for id in [A, B] {
+        holder.handle_grant(ms(401), id, seq_to(&renewals, id), false, 10);
+    }
+    assert!(holder.holds(ms(1299)));
+    assert!(!holder.refused(ms(1299)), "units are still held");
+    assert!(holder.refused(ms(1300)));
 }
 
 #[test]
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -83,7 +83,7 @@
         let dead = !self.state.is_present(identity.me);
         let alive = |id| self.state.is_present(id);
         let holder = &identity.holder;
-        let lost = holder.refused() || holder.abandoned(now) || holder.quorum_lost(now, alive);
+        let lost = holder.refused(now) || holder.abandoned(now) || holder.quorum_lost(now, alive);
         if identity.retiring.is_none() && (dead || lost) {
             warn!(member = %identity.me, dead, "lease is lost, retiring identity to join again");
             identity.retire(now, EndReason::Lease);
