Let only the later process itself evict a former one at its address

What callers saw: none reported; found by review. A live member could be evicted while its upstream held units, which others were granted at once.

Cause: a member with a lower id counted as replaced by any member with the same VM and address. The join of a process that was killed may be appended after that of the process that follows it. It then has the higher id and no process, and after two terms the others proposed the eviction of the live one; that the first had been evicted meanwhile made no difference.

A process that folds its own join knows that it runs, and that no earlier one runs at its address. It proposes the eviction without delay by rank, as it is the only one to do so. Others still evict by votes.

--- a/acaciaringd/src/control/eviction.rs
+++ b/acaciaringd/src/control/eviction.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use acaciaring_core::lease::Proof;
-use acaciaring_core::state::{Member, Phase};
+use acaciaring_core::state::{Member, Phase, State};
 use acaciaring_core::{MemberId, Time};
 use acaciaring_schema::log::{Evict, Vote, record};
 use tracing::warn;
@@ -22,7 +22,7 @@
 pub(super) enum EvictionReason {
     /// Votes prove that its lease has expired permanently.
     Proof,
-    /// A later process runs on its VM and address.
+    /// This process is a later one on its VM and address.
     Successor,
     /// It has no lessors, so it holds no lease.
     NoLessors,
@@ -74,7 +74,7 @@
             let since =
                 self.eviction_reasons.since(now, member.id, found.as_ref().map(|found| found.0));
             let Some((reason, evict)) = found else { continue };
-            let delay = self.eviction_delay(reason) + RANK_DELAY * self.rank(member);
+            let delay = self.eviction_delay(reason) + RANK_DELAY * self.rank(reason, member);
             if now.since(since) >= delay {
                 proposals.push(evict);
             }
@@ -97,7 +97,7 @@
         if let Some(proof) = identity.tally.proof(now, member) {
             return Some((EvictionReason::Proof, eviction(member, &proof)));
         }
-        if let Some(successor) = self.successor(member) {
+        if let Some(successor) = successor(&self.state, identity.me, member) {
             let evict = Evict { successor: successor.0, ..eviction(member, &no_proof(member)) };
             return Some((EvictionReason::Successor, evict));
         }
@@ -115,13 +115,6 @@
         }
     }
 
-    /// Returns a later member on the same VM and address.
-    fn successor(&self, member: &Member) -> Option<MemberId> {
-        let later = self.state.members().filter(|later| later.id > member.id);
-        let mut same = later.filter(|later| later.vm == member.vm && later.peer == member.peer);
-        same.next().map(|later| later.id)
-    }
-
     /// Returns the members whose lease is proved expired and which are not yet evicted.
     pub(super) fn expired(&self, now: Time) -> HashSet<MemberId> {
         let Some(identity) = &self.identity else { return HashSet::new() };
@@ -130,8 +123,11 @@
         expired.map(|member| member.id).collect()
     }
 
-    /// Returns this member's position among those that receive votes on a member.
-    fn rank(&self, member: &Member) -> u32 {
+    /// Returns this member's position among those that may propose an eviction.
+    fn rank(&self, reason: EvictionReason, member: &Member) -> u32 {
+        if reason == EvictionReason::Successor {
+            return 0;
+        }
         let Some(identity) = &self.identity else { return u32::MAX >> 8 };
         let recipients = vote_recipients(&self.state, member.id);
         let rank = recipients.into_iter().position(|id| id == identity.me);
@@ -140,6 +136,16 @@
     }
 }
 
+/// Returns the local member `me` if it is a later one on the VM and address of a member.
+///
+/// Only the later process itself knows that it runs: the `Join` of a process that was killed may be
+/// appended after that of the next one at its address, and would look like a successor of it.
+fn successor(state: &State, me: MemberId, member: &Member) -> Option<MemberId> {
+    let later = state.member(me).filter(|later| later.id > member.id);
+    let same = later.filter(|later| later.vm == member.vm && later.peer == member.peer);
+    same.map(|later| later.id)
+}
+
 /// Returns an empty proof, for evictions that need no votes.
 fn no_proof(member: &Member) -> Proof {
     Proof { version: member.version, votes: Vec::new(), lapsed: Vec::new() }
