Keep a leave open until its outcome is known

What callers saw: none reported; found by review. Two members could serve one unit after a leave took effect late.

Cause: a leave of a member that stood by for no unit was given up after five seconds and proposed again, though the log service could still append it. A unit that the member came to own meanwhile rejected the second one, after which the member took units over as a standby again. The first one, appended then, gave the role to another member, which served beside this one until that had read the log.

The test expires the proposals after a minute; before the change the leave was dropped with the others ("assertion failed: pending(Leave)").

A leave is now kept as one with standby roles was: only one is open, so its rejection is the last word on it.

--- a/acaciaringd/src/control/proposal.rs
+++ b/acaciaringd/src/control/proposal.rs
@@ -148,11 +148,12 @@
     /// Drops timed-out proposals that may be repeated under a new id.
     ///
     /// A record with renounced roles or changed keys is kept: its outcome must be known before they
-    /// may be used again. So is a join, which must not be folded twice.
+    /// may be used again. So is a leave, even without such roles: the rejection of a second one
+    /// would permit takeovers, which the first one may still end. A join must not be folded twice.
     pub(crate) fn expire(&mut self, now: Time) {
         let (appender, in_doubt) = (&self.appender, &mut self.in_doubt);
         self.open.retain(|id, proposal| {
-            let keep = proposal.purpose == Purpose::Join
+            let keep = matches!(proposal.purpose, Purpose::Join | Purpose::Leave)
                 || !proposal.renounced.is_empty()
                 || !proposal.changed.is_empty()
                 || now.since(proposal.since) < PROPOSAL_TIMEOUT
@@ -193,3 +194,6 @@
         self.0.push_back(id);
     }
 }
+
+#[cfg(test)]
+mod tests;
