Restore no standby role that another open record gives away

What callers saw: none reported; found by review. A standby could take a unit over beside the one to which its own handoff passed the role.

Cause: a leave renounces all standby roles, also those that an open handoff gives away. When the leave was rejected, its roles were restored, although the handoff could still be appended, after attempts that were not confirmed. The member then took over, and the next standby did so too, once the handoff was recorded. Between two handoffs this was guarded against already.

A role is restored only when no other open record renounces it, that is when the last of them is rejected. The same holds for a record that cannot be queued.

--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -190,6 +190,7 @@
         if self.proposals.submit(proposal, body) {
             return;
         }
+        let renounced = self.proposals.without_renounced(&renounced);
         let Some(identity) = &mut self.identity else { return };
         restore(&mut identity.rights, &purpose, &renounced);
         for (workspace, unit) in &changed {
@@ -218,7 +219,8 @@
                 identity.rights.end_change(workspace, unit.slot);
             }
             if !applied {
-                restore(&mut identity.rights, &proposal.purpose, &proposal.renounced);
+                let renounced = self.proposals.without_renounced(&proposal.renounced);
+                restore(&mut identity.rights, &proposal.purpose, &renounced);
             }
         }
         self.published(proposal, record);
--- a/acaciaringd/src/control/proposal.rs
+++ b/acaciaringd/src/control/proposal.rs
@@ -115,6 +115,16 @@
         renounced.any(|(name, other, _)| *other == unit && name == workspace)
     }
 
+    /// Returns those of the renounced roles that no open proposal renounces.
+    pub(crate) fn without_renounced(
+        &self,
+        renounced: &[(Name, UnitId, Offset)],
+    ) -> Vec<(Name, UnitId, Offset)> {
+        let free =
+            |(workspace, unit, _): &&(Name, UnitId, Offset)| !self.renounces(workspace, *unit);
+        renounced.iter().filter(free).cloned().collect()
+    }
+
     /// Appends a record without tracking its outcome.
     pub(crate) fn append(&self, record: Record) {
         if let Ok(id) = RecordId::try_from(record.id.as_slice()) {
