Give a slot the higher token of a hot key merged into it

What callers saw: none reported; found by review. Whoever checks tokens for each key saw a lower one than before, and would have refused the key or let an older owner through.

Cause: a hot key that moves away and back gets a token with each move. Merged into its slot, it was held under the slot's token, which is older.

The test splits a key, moves it away and back, and merges it.

The merge raises the slot's token to that of the key. A former owner that has not been waited for yet sends its release again, as the version changes with the merge.

--- a/acaciaring_core/src/state/units.rs
+++ b/acaciaring_core/src/state/units.rs
@@ -195,6 +195,8 @@
                 prior: a.prior.or(hot.prior),
                 prior_standby: a.prior_standby.or(hot.prior_standby),
                 version: offset,
+                // The key may have moved away and back since the slot got its token.
+                token: a.token.max(hot.token),
                 ..a
             };
             self.update_assignments(&record.workspace, &[UnitId::slot(slot)], joined);
--- a/acaciaring_core/tests/fold/units.rs
+++ b/acaciaring_core/tests/fold/units.rs
@@ -251,6 +251,22 @@
     log.applied(merge(owner, hot));
 }
 
+/// Guards against a key held under a lower token than before: a hot key that has moved away and back
+/// has a higher one than its slot.
+#[test]
+fn a_merged_key_keeps_the_higher_token() {
+    let mut log = Log::with_service(3, 1);
+    let (owner, standby) = owner_and_standby(&log, 0);
+    let mut hot = Unit { key: Some(1), ..log.unit(0) };
+    hot.version = log.applied(split(owner, vec![hot]));
+    hot.version = log.applied(switchover(owner, hot));
+    hot.version = log.applied(switchover(standby, hot));
+    let token = hot.version;
+    log.applied(merge(owner, hot));
+    assert_eq!((log.slot(0).owner, log.slot(0).prior), (Some(owner), Some(standby)));
+    assert_eq!(log.slot(0).token, token);
+}
+
 /// Guards against an assigned member that waits for its own release because it was the former
 /// owner.
 #[test]
