Split and merge hot keys only where they are served

What callers saw: none reported; found by review. DESIGN says that an owner that waits for the former one proposes no split or merge; the daemon checked it for switchovers and leaves only.

Cause: with the merge of a key whose former owner had not released it, the new owner would serve the key at once, as it serves the slot. Merges come five minutes after a key turned cold, so the former owner must have held it for as long.

No test: the check stands in the control thread, which has no test of its own for plans.

--- a/acaciaringd/src/control/balance.rs
+++ b/acaciaringd/src/control/balance.rs
@@ -360,19 +360,35 @@
     }
 
     fn propose_splits(&mut self, now: Time, workspace: &Name, plan: &Plan) {
-        let messages = self.key_messages(workspace, &plan.splits);
+        let serving = |unit: &UnitId| self.serving(workspace, UnitId::slot(unit.slot));
+        let splits: Vec<UnitId> = plan.splits.iter().copied().filter(serving).collect();
+        let messages = self.key_messages(workspace, &splits);
         let body =
             |member, workspace, units| record::Body::Split(Split { member, workspace, units });
         self.propose_change(now, Purpose::Split(Arc::clone(workspace)), workspace, messages, body);
     }
 
+    /// Proposes merges of hot keys that this member serves into slots that it serves too.
+    ///
+    /// With the slot it would otherwise serve a key at once that its former owner still holds.
     fn propose_merges(&mut self, now: Time, workspace: &Name, plan: &Plan) {
-        let messages = self.unit_messages(workspace, &plan.merges);
+        let serving = |unit: &UnitId| {
+            let slot = UnitId::slot(unit.slot);
+            self.serving(workspace, *unit) && self.serving(workspace, slot)
+        };
+        let merges: Vec<UnitId> = plan.merges.iter().copied().filter(serving).collect();
+        let messages = self.unit_messages(workspace, &merges);
         let body =
             |member, workspace, units| record::Body::Merge(Merge { member, workspace, units });
         self.propose_change(now, Purpose::Merge(Arc::clone(workspace)), workspace, messages, body);
     }
 
+    /// Returns true while this member serves a unit.
+    fn serving(&self, workspace: &Name, unit: UnitId) -> bool {
+        let identity = self.identity.as_ref();
+        identity.is_some_and(|identity| identity.rights.serving(workspace, unit))
+    }
+
     /// Proposes a split or merge; the slots are not released until its outcome is known.
     fn propose_change(
         &mut self,
