--- a/acaciaring_core/src/lease/holder.rs
+++ b/acaciaring_core/src/lease/holder.rs
@@ -209,15 +209,17 @@
     pub fn propose(&mut self, lessors: &[MemberId]) {
         self.prepared.clear();
         let set = LessorSet::new(None, lessors);
-        if !self.sets.contains(&set) {
-            self.sets.push(set);
-        }
+        self.sets.retain(|other| *other != set);
+        self.sets.push(set);
         self.recompute();
     }
 
-    /// Drops proposed sets; may be called only when their records are known to be rejected.
+    /// Drops the latest proposed set; may be called only when its record is known to be rejected.
+    ///
+    /// Earlier proposed sets stay required: their records may have been given up and still be
+    /// appended, and others would then count votes by them.
     pub fn withdraw(&mut self) {
-        self.sets.retain(|set| set.version.is_some());
+        self.sets.pop_if(|set| set.version.is_none());
         self.recompute();
     }
 
@@ -303,13 +305,18 @@
         (!self.holds(now)).then(|| self.last_expiry.min(now))
     }
 
-    /// Returns true when too many lessors refuse for this identity ever to get a lease again.
+    /// Returns true when the lease has expired and too many lessors refuse for it to be renewed.
+    ///
+    /// Lessors that stop refuse renewals while their last grants still run, and the upstream may
+    /// hold units until those expire.
     #[must_use]
-    pub fn refused(&self) -> bool {
-        self.sets.iter().filter(|set| set.version.is_some()).any(|set| {
+    pub fn refused(&self, now: Time) -> bool {
+        let lacks = |set: &LessorSet| {
             let refused = set.lessors.iter().filter(|id| self.lessors[*id].refused).count();
             set.lessors.len() - refused < set.majority() && refused > 0
-        })
+        };
+        let mut recorded = self.sets.iter().filter(|set| set.version.is_some());
+        !self.holds(now) && recorded.any(lacks)
     }
 
     /// Returns true when the lease has expired and too many lessors are dead for it to be renewed.
--- a/acaciaring_core/tests/lease.rs
+++ b/acaciaring_core/tests/lease.rs
@@ -11,6 +11,7 @@
 const B: MemberId = MemberId(2);
 const C: MemberId = MemberId(3);
 const D: MemberId = MemberId(4);
+const E: MemberId = MemberId(5);
 
 /// Settings of these tests; the renewal interval is 400 ms.
 fn settings() -> LeaseSettings {
@@ -170,14 +171,53 @@
     assert_eq!(holder.due(ms(400)).len(), older + 1, "the old set is still asked");
 }
 
+/// Guards against a takeover beside a holder that still has its lease: a record of lessors that was
+/// given up may be recorded after the rejection of a later one.
+#[test]
+fn rejected_set_leaves_earlier_proposed_ones_required() {
+    let mut holder = holder(&[A, B, C]);
+    renew(&mut holder, ms(0), &[A, B, C], 10);
+    holder.propose(&[B, D]);
+    holder.propose(&[C, E]);
+    holder.withdraw();
+    renew(&mut holder, ms(400), &[A, C], 10);
+    renew(&mut holder, ms(800), &[A, C], 10);
+    renew(&mut holder, ms(1200), &[A, C], 10);
+    // The first proposal is recorded at 20 and read by its lessors, but not by the holder.
+    let mut tally = Tally::new(settings());
+    for id in [B, D] {
+        let mut lessor = lessor(id);
+        lessor.join_set(ms(0), H, 20);
+        let vote = lessor.vote(ms(1400), H, true).expect("the holder does not renew");
+        tally.vote(id, vote.member, vote.version);
+    }
+    assert!(tally.expired(ms(1400), &member(20, &[B, D])));
+    assert!(!holder.holds(ms(1400)), "others take over");
+}
+
 #[test]
 fn majority_of_refusals_ends_the_identity() {
     let mut holder = holder(&[A, B, C]);
     let renewals = holder.due(ms(0));
     holder.handle_grant(ms(1), A, seq_to(&renewals, A), false, 10);
-    assert!(!holder.refused());
+    assert!(!holder.refused(ms(1)));
     holder.handle_grant(ms(1), B, seq_to(&renewals, B), false, 10);
-    assert!(holder.refused());
+    assert!(holder.refused(ms(1)));
+}
+
+/// Guards against an identity that ends while its upstream still holds units by its lease: lessors
+/// that stop refuse renewals before the grants that they gave have expired.
+#[test]
+fn refusals_end_the_identity_only_after_its_lease() {
+    let mut holder = holder(&[A, B, C]);
+    renew(&mut holder, ms(0), &[A, B, C], 10);
+    let renewals = holder.due(ms(400));
+    for id in [A, B] {
+        holder.handle_grant(ms(401), id, seq_to(&renewals, id), false, 10);
+    }
+    assert!(holder.holds(ms(1299)));
+    assert!(!holder.refused(ms(1299)), "units are still held");
+    assert!(holder.refused(ms(1300)));
 }
 
 #[test]
