--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -101,11 +101,12 @@
             return;
         }
         if self.awaits_releases() {
-            return if self.closed {
-                self.exit_released(now)
+            if self.closed {
+                self.exit_released(now);
             } else {
-                self.switch_over_served(now)
-            };
+                self.switch_over_served(now);
+            }
+            return;
         }
         let Some(identity) = &mut self.identity else { return };
         let mut renounced: Vec<(Name, UnitId, Offset)> = Vec::new();
