Count a key split from a granted slot as held with the slot

What callers saw: none reported; found by review. Two upstreams could hold a hot key.

Cause: whether an upstream may hold a unit by a grant that it has not reported yet was decided by the unit. A key is granted with its slot until the reply after its split. One that left its member within that time, for example because the upstream left, counted as not held and was released at once, while the upstream applied the reply.

The test grants a slot, splits a key, and asks before and after the next reply. Before the change it failed at once ("the reply is on its way").

A grant of the slot that has any of the unit's keys counts, and one with former keys does until a report that comes after the reply can no longer be applied.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -16,8 +16,8 @@
 pub use self::epoch::Epoch;
 pub use self::incarnation::{Incarnation, Incarnations, ReportOutcome};
 pub use self::ranges::{Freed, Granted, Held, Wanted};
-use self::ranges::{lie_within, overlap, ranges};
-use crate::id::{Name, Token, UnitId};
+use self::ranges::{lie_within, overlap, ranges, ranges_overlap};
+use crate::id::{KeyHash, Name, Token, UnitId};
 use crate::time::Time;
 
 /// Time after which a reply that the upstream has not applied can no longer take effect.
@@ -66,6 +66,8 @@
     epoch: Epoch,
     reported: Vec<Held>,
     grants: BTreeMap<UnitId, UnitGrant>,
+    /// Former grants of units whose keys have changed, which the upstream may have applied.
+    replaced: Vec<UnitGrant>,
     freed: Vec<Freed>,
     /// Time at which everything held expires unless it is granted again.
     held_until: Time,
@@ -87,6 +89,7 @@
             epoch: Epoch::default(),
             reported: Vec::new(),
             grants: BTreeMap::new(),
+            replaced: Vec::new(),
             freed: Vec::new(),
             held_until: now + hold.mul_f64(1.0 + CLOCK_DRIFT),
             expiry: now,
@@ -136,6 +139,7 @@
         self.epoch.raise(now);
         self.reported.clear();
         self.grants.clear();
+        self.replaced.clear();
         self.freed.clear();
     }
 
@@ -198,6 +202,9 @@
         if grant.token != wanted.token || grant.keys != wanted.keys {
             grant.effective = effective;
         }
+        if grant.keys != wanted.keys {
+            self.replaced.push(grant.clone());
+        }
         grant.token = wanted.token;
         grant.keys.clone_from(&wanted.keys);
         grant.last_sent = now;
@@ -238,7 +245,18 @@
             return false;
         }
         let reported = overlap(keys, &self.reported);
-        self.is_unknown() || reported || self.grants.contains_key(&unit)
+        self.is_unknown() || reported || self.is_granted(unit, keys)
+    }
+
+    /// Returns true when a grant of the unit, or one of its slot with any of its keys, may be in
+    /// force.
+    ///
+    /// A hot key is granted with its slot until the reply after its split.
+    fn is_granted(&self, unit: UnitId, keys: &[RangeInclusive<u32>]) -> bool {
+        let last = UnitId { slot: unit.slot, key: Some(KeyHash(u64::MAX)) };
+        let slot = self.grants.range(UnitId::slot(unit.slot)..=last).map(|(_, grant)| grant);
+        let mut grants = slot.chain(&self.replaced);
+        self.grants.contains_key(&unit) || grants.any(|grant| ranges_overlap(&grant.keys, keys))
     }
 
     /// Returns true while the reports do not reliably state what the upstream holds.
@@ -268,6 +286,7 @@
             let taken = now.since(grant.last_sent) < REPLY_TTL;
             held || grant.current || (taken && !released)
         });
+        self.replaced.retain(|grant| now.since(grant.last_sent) < REPLY_TTL);
         // Ranges that are held again are no longer released.
         self.freed.retain(|freed| !overlap(&[freed.first..=freed.last], reported));
         let excess = self.freed.len().saturating_sub(MAX_FREED);
--- a/acaciaring_core/src/holds/ranges.rs
+++ b/acaciaring_core/src/holds/ranges.rs
@@ -60,6 +60,14 @@
     held.iter().any(|held| keys.iter().any(|keys| overlaps(keys, held)))
 }
 
+/// Returns true when two sets of key ranges have a key in common.
+pub(super) fn ranges_overlap(one: &[RangeInclusive<u32>], other: &[RangeInclusive<u32>]) -> bool {
+    let overlaps = |a: &RangeInclusive<u32>, b: &RangeInclusive<u32>| {
+        a.start() <= b.end() && b.start() <= a.end()
+    };
+    one.iter().any(|a| other.iter().any(|b| overlaps(a, b)))
+}
+
 /// Returns true when all of the keys lie in the range from `first` to `last`.
 pub(super) fn lie_within(keys: &[RangeInclusive<u32>], first: u32, last: u32) -> bool {
     keys.iter().all(|keys| first <= *keys.start() && *keys.end() <= last)
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -5,7 +5,7 @@
 use acaciaring_core::holds::{
     Epoch, Freed, Granted, Held, Holds, Incarnation, ReportOutcome, Wanted,
 };
-use acaciaring_core::{Time, Token, UnitId};
+use acaciaring_core::{KeyHash, Time, Token, UnitId};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -109,6 +109,25 @@
     assert_eq!(&*holds.handover(&wanted(1, 0).keys), "h");
 }
 
+/// Guards against two upstreams that hold a hot key: one that leaves its slot counts as held until a
+/// reply that grants it with the slot can no longer be applied.
+#[test]
+fn a_key_split_from_a_granted_slot_may_be_held() {
+    let mut holds = established();
+    let hot = UnitId { slot: 2, key: Some(KeyHash(35)) };
+    report_and_grant(&mut holds, at(2700), 4, &[held(1, 7)], &[], &[wanted(1, 7), wanted(2, 7)]);
+    assert!(holds.may_hold(at(2701), hot, &[35..=35]), "the reply is on its way");
+    let rest = Wanted { keys: vec![32..=34, 36..=47], ..wanted(2, 7) };
+    let both = [wanted(1, 7), rest];
+    report_and_grant(&mut holds, at(2800), 5, &[held(1, 7)], &[], &both);
+    assert!(holds.may_hold(at(2801), hot, &[35..=35]), "this reply may be lost");
+    assert!(holds.may_hold(at(3900), hot, &[35..=35]), "there was no report since");
+    let parts = [(32, 34), (36, 47)].map(|(first, last)| Held { first, last, ..held(2, 7) });
+    report_and_grant(&mut holds, at(3901), 6, &parts, &[], &both);
+    assert!(!holds.may_hold(at(3902), hot, &[35..=35]));
+    assert!(may_hold(&holds, at(3902), 2));
+}
+
 /// Guards against a hold of a silent upstream that ends before its time.
 #[test]
 fn silence_ends_a_hold_by_time_alone() {
