Raise the token of an owner that serves again after a release

A unit came back to a server under a lower token than another server had held it under.

Cause: an owner whose leave the log does not take releases its units to their standbys, which serve under a token of the version. When another member becomes the standby, by a handoff or a death, the release lapses and the owner serves again, under the token from before.

After a lapsed release the owner serves under the token of the present version, which is above that of the former standby and below that of the present one.

--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -57,6 +57,8 @@
     served: BTreeSet<Key>,
     /// Roles under which this process, as owner, has released each unit to the standby.
     released: BTreeMap<Key, Roles>,
+    /// Tokens of units whose release has lapsed because another member has become the standby.
+    lapsed: BTreeMap<Key, Offset>,
     /// Releases received, by unit and sender, with the highest version released.
     received_releases: BTreeMap<(Key, MemberId), Offset>,
     /// Version under which this process has renounced its standby role for each unit.
@@ -179,6 +181,13 @@
         let find = |(unit, workspace): &Key| state.service(workspace)?.assignment(*unit);
         let mine = |a: &Assignment| a.owner == Some(me) || a.standby == Some(me);
         self.served.retain(|key| retired(key) || find(key).is_some_and(mine));
+        for (key, roles) in &self.released {
+            if find(key).is_some_and(|a| *roles != Roles::of(a)) {
+                self.lapsed.insert(key.clone(), roles.token);
+            }
+        }
+        self.lapsed
+            .retain(|key, token| retired(key) || find(key).is_some_and(|a| *token == a.token));
         self.released
             .retain(|key, roles| retired(key) || find(key).is_some_and(|a| *roles == Roles::of(a)));
         self.renounced.retain(|key, version| {
@@ -227,9 +236,13 @@
         // A release stays valid across versions while owner and standby are the same. Otherwise the
         // eviction of a third member, which changes the version, would let the owner serve beside a
         // standby that lags behind.
-        let released = self.released.get(&key) == Some(&Roles::of(assignment));
-        let (ready, token) = if owner == Some(me) && !released {
-            (self.owner_ready(&key, me, assignment, &expired), Token::owner(token))
+        let released = self.released.get(&key);
+        let (ready, token) = if owner == Some(me) && released != Some(&Roles::of(assignment)) {
+            // The standby of a lapsed release may have taken over under an earlier version.
+            let lapsed = released.map(|roles| roles.token).or(self.lapsed.get(&key).copied());
+            let again = lapsed == Some(token);
+            let recorded = if again { version } else { token };
+            (self.owner_ready(&key, me, assignment, &expired), Token::owner(recorded))
         } else if standby == Some(me) && self.standby_ready(&key, me, assignment, expired) {
             (true, Token::standby(version))
         } else {
--- a/acaciaring_core/tests/rights.rs
+++ b/acaciaring_core/tests/rights.rs
@@ -120,6 +120,24 @@
     assert!(standby.serves(&later, &[]), "the record was rejected and it stays");
 }
 
+/// Guards against a token that falls: an owner that released its unit to a standby, which took it
+/// over, serves again when another member becomes the standby.
+#[test]
+fn owner_that_serves_again_after_a_release_has_a_higher_token() {
+    let (mut owner, mut standby) = (Process::new(P), Process::new(S));
+    let first = assignment(P, S, None, 10, 12);
+    assert!(owner.serves(&first, &[]));
+    assert!(owner.release(&first));
+    standby.receive(P, 12);
+    let until = Time::from_millis(1300);
+    let taken = Right::Serve { token: Token::standby(12), until, version: 12 };
+    assert_eq!(standby.right_at(Time::ZERO, &first, &[]), taken);
+    let handed_off = assignment(P, T, None, 10, 15);
+    let again = Right::Serve { token: Token::owner(15), until, version: 15 };
+    assert_eq!(owner.right_at(Time::ZERO, &handed_off, &[]), again);
+    assert!(Token::owner(15) > Token::standby(12));
+}
+
 // Guards against a new owner that serves before the former one has released; a release counts under
 // any later version.
 #[test]
