Keep the token of an owner that serves again across later versions

The owner served under the token of the version in force, so a later record that changes the version alone, such as the eviction of a former owner, would have raised it above the token of a standby that has not read that record. It serves under the version at which it read that its release had lapsed. Found by reading; the story of the release covers the first version only.

--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -57,8 +57,9 @@
     served: BTreeSet<Key>,
     /// Roles under which this process, as owner, has released each unit to the standby.
     released: BTreeMap<Key, Roles>,
-    /// Tokens of units whose release has lapsed because another member has become the standby.
-    lapsed: BTreeMap<Key, Offset>,
+    /// Units whose release has lapsed because another member has become the standby, each with the
+    /// token of the assignment and the version at which that was read.
+    lapsed: BTreeMap<Key, (Offset, Offset)>,
     /// Releases received, by unit and sender, with the highest version released.
     received_releases: BTreeMap<(Key, MemberId), Offset>,
     /// Version under which this process has renounced its standby role for each unit.
@@ -182,12 +183,12 @@
         let mine = |a: &Assignment| a.owner == Some(me) || a.standby == Some(me);
         self.served.retain(|key| retired(key) || find(key).is_some_and(mine));
         for (key, roles) in &self.released {
-            if find(key).is_some_and(|a| *roles != Roles::of(a)) {
-                self.lapsed.insert(key.clone(), roles.token);
+            if let Some(assignment) = find(key).filter(|a| *roles != Roles::of(a)) {
+                self.lapsed.insert(key.clone(), (roles.token, assignment.version));
             }
         }
         self.lapsed
-            .retain(|key, token| retired(key) || find(key).is_some_and(|a| *token == a.token));
+            .retain(|key, (token, _)| retired(key) || find(key).is_some_and(|a| *token == a.token));
         self.released
             .retain(|key, roles| retired(key) || find(key).is_some_and(|a| *roles == Roles::of(a)));
         self.renounced.retain(|key, version| {
@@ -239,9 +240,9 @@
         let released = self.released.get(&key);
         let (ready, token) = if owner == Some(me) && released != Some(&Roles::of(assignment)) {
             // The standby of a lapsed release may have taken over under an earlier version.
-            let lapsed = released.map(|roles| roles.token).or(self.lapsed.get(&key).copied());
-            let again = lapsed == Some(token);
-            let recorded = if again { version } else { token };
+            let lapsed = released.map(|roles| (roles.token, version));
+            let lapsed = lapsed.or(self.lapsed.get(&key).copied());
+            let recorded = lapsed.filter(|(since, _)| *since == token).map_or(token, |l| l.1);
             (self.owner_ready(&key, me, assignment, &expired), Token::owner(recorded))
         } else if standby == Some(me) && self.standby_ready(&key, me, assignment, expired) {
             (true, Token::standby(version))
