Test the order of records when members leave together

Rejected and repeated records, switchovers, handoffs, attachments, exits and evictions beside them come about at random.

--- a/acaciaring_core/tests/ownership_schedule.rs
+++ b/acaciaring_core/tests/ownership_schedule.rs
@@ -25,6 +25,12 @@
 /// Number of schedules, one per seed; the environment variable `SEEDS` overrides it.
 const SCHEDULES: u64 = 2000;
 
+/// Probability that a step concerns a departure, in schedules with many of them.
+const DEPARTURES: f64 = 0.1;
+
+/// Probability that such a step begins one.
+const DRAIN_PROBABILITY: f64 = 0.1;
+
 /// Number of appends in flight at which no further switchover is proposed.
 const MAX_APPENDS: usize = 6;
 
@@ -57,6 +63,8 @@
     expired: BTreeSet<MemberId>,
     leased: bool,
     leaving: bool,
+    /// True once it serves nothing and releases to its standbys without a record.
+    closed: bool,
     renounced: Vec<(UnitId, Offset)>,
 }
 
@@ -89,6 +97,8 @@
 
 struct Simulation {
     rng: StdRng,
+    /// Probability that a step begins or advances the departure of a process.
+    departures: f64,
     log: Vec<Entry>,
     states: Vec<State>,
     outcomes: Vec<bool>,
@@ -115,10 +125,11 @@
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, departures: f64) -> Self {
         let vm = || Vm { process: None, held: Held::new(), instance: 0, draining: false };
         let mut simulation = Self {
             rng: StdRng::seed_from_u64(seed),
+            departures,
             log: Vec::new(),
             states: vec![State::default()],
             outcomes: Vec::new(),
@@ -314,6 +325,7 @@
                     expired: BTreeSet::new(),
                     leased: true,
                     leaving: false,
+                    closed: false,
                     renounced: Vec::new(),
                 });
             }
@@ -403,7 +415,7 @@
         let Some(identity) = process.identity.as_ref().filter(|identity| identity.leased) else {
             return Ok(());
         };
-        let me = identity.me;
+        let (me, closed) = (identity.me, identity.closed);
         let instance = format!("i-{vm}-{}", self.vms[vm].instance);
         let attachment = self.state(vm).member(me).and_then(|member| member.attachment.clone());
         if attachment.is_none_or(|attachment| *attachment.instance != *instance) {
@@ -415,7 +427,9 @@
                 continue;
             }
             let Some(token) = self.right(vm, unit, &assignment) else { continue };
-            next.insert(unit, (token, me));
+            if !closed {
+                next.insert(unit, (token, me));
+            }
         }
         for (unit, (token, _)) in &next {
             let other = (0..VMS).find(|n| *n != vm && self.vms[*n].held.contains_key(unit));
@@ -445,10 +459,12 @@
 
     fn release(&mut self, vm: usize) {
         let Some(me) = self.me(vm) else { return };
+        let closed = self.closed(vm);
         for (unit, assignment) in self.units(vm) {
-            let former = assignment.owner != Some(me)
-                && [assignment.prior, assignment.prior_standby].contains(&Some(me));
-            if !former || self.vms[vm].held.contains_key(&unit) {
+            let owned = assignment.owner == Some(me);
+            let former = !owned && [assignment.prior, assignment.prior_standby].contains(&Some(me));
+            let closing = closed && owned && assignment.standby.is_some();
+            if !(former || closing) || self.vms[vm].held.contains_key(&unit) {
                 continue;
             }
             let Some(process) = &mut self.vms[vm].process else { return };
@@ -465,6 +481,12 @@
         }
     }
 
+    fn closed(&self, vm: usize) -> bool {
+        let process = self.vms[vm].process.as_ref();
+        let identity = process.and_then(|process| process.identity.as_ref());
+        identity.is_some_and(|identity| identity.closed)
+    }
+
     fn me(&self, vm: usize) -> Option<MemberId> {
         Some(self.vms[vm].process.as_ref()?.identity.as_ref()?.me)
     }
@@ -554,7 +576,10 @@
             }
             return;
         }
-        if self.pending(vm, Purpose::Leave) || self.pending(vm, Purpose::Handoff) {
+        if self.pending(vm, Purpose::Leave) {
+            return self.leave_without_log(vm);
+        }
+        if self.pending(vm, Purpose::Handoff) {
             return;
         }
         let units = self.units(vm);
@@ -585,6 +610,21 @@
         self.propose(vm, Purpose::Leave, Body::Leave(Leave { member: me.0, applied }));
     }
 
+    /// Lets a member whose record is not recorded in time release to its standbys, or forget the
+    /// record, which may be appended nevertheless.
+    fn leave_without_log(&mut self, vm: usize) {
+        let forgets = self.rng.random_bool(0.5);
+        let Some(process) = &mut self.vms[vm].process else { return };
+        let Some(identity) = &mut process.identity else { return };
+        if !forgets {
+            identity.closed = true;
+            self.trace.push(format!("{} at vm {vm} leaves without the log", identity.me));
+        } else if identity.renounced.is_empty() {
+            process.pending.retain(|_, purpose| *purpose != Purpose::Leave);
+            self.trace.push(format!("{} at vm {vm} forgets its record", identity.me));
+        }
+    }
+
     /// Returns whether the current owner serves the unit, so the former owner's release has
     /// arrived.
     fn released(&self, me: MemberId, unit: UnitId, assignment: &Assignment) -> bool {
@@ -678,8 +718,27 @@
         });
     }
 
+    /// Lets an upstream drain, advances the departure of its process, or lets it attach again.
+    fn depart(&mut self, vm: usize) {
+        let me = self.me(vm);
+        let attached = me.is_some_and(|me| {
+            self.state(vm).member(me).is_some_and(|member| member.attachment.is_some())
+        });
+        if !self.vms[vm].draining {
+            self.vms[vm].draining = attached && self.rng.random_bool(DRAIN_PROBABILITY);
+        } else if me.is_none() {
+            self.vms[vm].draining = false;
+        } else {
+            self.leave(vm);
+        }
+    }
+
     fn step(&mut self) -> Result<(), String> {
         let vm = self.rng.random_range(0..VMS);
+        if self.departures > 0.0 && self.rng.random_bool(self.departures) {
+            self.depart(vm);
+            return Ok(());
+        }
         match self.rng.random_range(0..100) {
             0..30 => {
                 self.fold(vm);
@@ -738,15 +797,13 @@
     }
 }
 
-/// Guards against two upstreams that hold the same unit, and against a unit that moves to another
-/// VM without a higher token.
-#[test]
-fn no_two_upstreams_hold_one_unit() {
+/// Runs schedules and checks that no unit has two holders or moves without a higher token.
+fn check(departures: f64) {
     let seeds = std::env::var("SEEDS").ok().and_then(|text| text.parse().ok());
     let (mut grants, mut transfers) = (0, 0);
     let mut failed = 0;
     for seed in 0..seeds.unwrap_or(SCHEDULES) {
-        let mut simulation = Simulation::new(seed);
+        let mut simulation = Simulation::new(seed, departures);
         for step in 0..STEPS {
             if let Err(error) = simulation.step() {
                 failed += 1;
@@ -765,3 +822,16 @@
     println!("{grants} grants, {transfers} to another upstream, {failed} schedules failed");
     assert_eq!(failed, 0);
 }
+
+/// Guards against two upstreams that hold the same unit, and against a unit that moves to another
+/// VM without a higher token.
+#[test]
+fn no_two_upstreams_hold_one_unit() {
+    check(0.0);
+}
+
+/// Guards against the same where several members leave at once, with and without the log.
+#[test]
+fn no_two_upstreams_hold_one_unit_while_members_leave() {
+    check(DEPARTURES);
+}
