Show by a simulation that an own upstream four times as slow keeps its requests

Callers at the entry beside a slow upstream keep being sent to it. In a_pool_turns_away_from_a_slow_member beside sixteen busy loops (load 40) it got 64 to 69 of 726 to 744 runs of the last phase in four of four runs: four in flight, the half of its eight slots up to which the own upstream is preferred.

Cause, by the code and the simulation: the own upstream is preferred until it takes more than twice the mean latency, and its own answers are part of that mean. Where all wait for the processor, 20 and 200 ms become about 70 and 250, and a mean of which the own upstream has a third does not fall below half of its latency any more. Without load the test passes.

The simulation fails: at a request each 80 ms at each entry the slow upstream gets 0.125 of all requests, all of its entry's, for ten seconds; at one each 20 ms 0.048. The limit of 0.05 is that of a p95 of the others.

--- a/acaciaring_core/tests/choice_near.rs
+++ b/acaciaring_core/tests/choice_near.rs
@@ -32,6 +32,8 @@
     /// Highest number of running requests of each upstream.
     max_busy: [u32; MEMBERS],
     near: bool,
+    /// Milliseconds that the rates of [`Mesh::run`] count requests of.
+    span: u32,
 }
 
 impl Mesh {
@@ -46,10 +48,11 @@
             sent: BTreeMap::new(),
             max_busy: [0; MEMBERS],
             near: true,
+            span: 10,
         }
     }
 
-    /// Simulates a span; `rates` are the requests per 10 ms of each entry.
+    /// Simulates a span; `rates` are the requests per [`Mesh::span`] of each entry.
     fn run(&mut self, millis: u64, rates: [u32; MEMBERS]) {
         self.sent.clear();
         self.max_busy = self.busy;
@@ -59,8 +62,8 @@
             self.complete_due();
             for entry in 0..MEMBERS {
                 credit[entry] += rates[entry];
-                while credit[entry] >= 10 {
-                    credit[entry] -= 10;
+                while credit[entry] >= self.span {
+                    credit[entry] -= self.span;
                     self.send(entry);
                 }
             }
@@ -167,6 +170,27 @@
     assert!(again > 0.1, "{again}");
 }
 
+/// Guards against a slow local upstream whose own answers make up the mean that it is compared with,
+/// where waits for the processor leave it about four times, not ten times, as slow as the others.
+#[test]
+fn a_slow_own_upstream_gets_less_where_all_wait() {
+    for span in [20, 80] {
+        let mut mesh = Mesh { latencies: [70; MEMBERS], span, ..Mesh::new() };
+        mesh.run(20_000, [1; MEMBERS]);
+        mesh.latencies[0] = 250;
+        mesh.run(2_000, [1; MEMBERS]);
+        mesh.run(10_000, [1; MEMBERS]);
+        let slow = mesh.share(|_, member| member == 0);
+        println!("a request each {span} ms at each entry: {slow}");
+        assert!(slow > 0.0 && slow < 0.05, "{slow}");
+        mesh.latencies[0] = 70;
+        mesh.run(20_000, [1; MEMBERS]);
+        mesh.run(10_000, [1; MEMBERS]);
+        let again = mesh.share(|_, member| member == 0);
+        assert!(again > 0.1, "{again}");
+    }
+}
+
 // Guards against a nearby member chosen although it fails, sheds load, is full or is much busier
 // than a remote one.
 #[test]
