Mark a connection as abandoned before its request is dropped

Callers who left: a server still got their request, for the connection was closed in order in place of a reset.

Cause: a dropped exchange dropped the future of its request before the guard that marks the connection. Another thread of the runtime could end the task of the connection in between. The guard is declared last now, so it drops first.

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -6,6 +6,7 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -272,16 +273,32 @@
 
     async fn send_unlimited(
         &self,
-        mut connection: Connection,
+        connection: Connection,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<Exchange, Failed> {
+        let limit = Arc::clone(&connection.limit);
+        let mut exchange = pin!(self.exchange_on(connection, request));
+        // Declared last to be dropped first: once the exchange is dropped, the task of the
+        // connection may close it at any moment.
+        let guard = AbandonGuard::new(limit);
+        let (ended, answered) = exchange.as_mut().await;
+        if answered {
+            guard.answered();
+        }
+        ended
+    }
+
+    /// Sends a request and receives its answer; also returns true if there was an answer.
+    async fn exchange_on(
+        &self,
+        mut connection: Connection,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> (Result<Exchange, Failed>, bool) {
         let address = connection.address;
-        let guard = AbandonGuard::new(Arc::clone(&connection.limit));
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = self.receive(connection, response).await;
-                guard.answered();
-                exchange.map_err(|error| Failed { error, request: None })
+                (exchange.map_err(|error| Failed { error, request: None }), true)
             }
             Err(mut error) => {
                 let request = error.take_message();
@@ -291,7 +308,7 @@
                     Some(_) => ExchangeError::Unsent { address, source },
                     None => lost(address, source),
                 };
-                Err(Failed { error, request })
+                (Err(Failed { error, request }), false)
             }
         }
     }
