Log the fingerprint of each request that loses its answer

The fingerprint covers workspace, method, path, host, the caller's headers and the body.

It is computed only once an answer is lost.

--- a/acaciaring_core/src/id.rs
+++ b/acaciaring_core/src/id.rs
@@ -133,3 +133,31 @@
         Self(hasher.digest128().to_le_bytes())
     }
 }
+
+/// Identity of a request that is the same each time a caller sends it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint {
+    /// Hash of workspace, method and path, cheap enough to compute for each request.
+    pub target: u64,
+    /// Digest of the whole request.
+    pub digest: [u8; 16],
+}
+
+impl Fingerprint {
+    /// Returns the target of a request.
+    #[must_use]
+    pub fn target_of(workspace: &str, method: &str, path: &str) -> u64 {
+        let mut hasher = xxh3::Xxh3::new();
+        for field in [workspace, method, path] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.digest()
+    }
+}
+
+impl Display for Fingerprint {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        write!(out, "{:032x}", u128::from_be_bytes(self.digest))
+    }
+}
--- /dev/null
+++ b/acaciaringd/src/fingerprint.rs
@@ -0,0 +1,40 @@
+//! Fingerprints of requests.
+
+use acaciaring_core::Fingerprint;
+use acaciaring_schema::peer::Request;
+use ring::digest::{Context, SHA256};
+
+/// Header that selects the route together with the path.
+const HOST: &str = "host";
+
+/// Returns the target of a request.
+pub(crate) fn target(request: &Request) -> u64 {
+    Fingerprint::target_of(&request.workspace, &request.method, &request.path)
+}
+
+/// Returns the fingerprint of a request; `caller` names the headers that identify its caller.
+///
+/// Headers that differ from one attempt to the next, the routing key and the time left are no part
+/// of it.
+pub(crate) fn fingerprint(request: &Request, caller: &[&str]) -> Fingerprint {
+    let mut context = Context::new(&SHA256);
+    let mut update = |field: &[u8]| {
+        context.update(&(field.len() as u64).to_le_bytes());
+        context.update(field);
+    };
+    for field in [&request.workspace, &request.method, &request.path] {
+        update(field.as_bytes());
+    }
+    let identifies = |name: &str| name == HOST || caller.contains(&name);
+    for header in request.headers.iter().filter(|header| identifies(&header.name)) {
+        update(header.name.as_bytes());
+        update(&header.value);
+    }
+    update(&request.body);
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&context.finish().as_ref()[..16]);
+    Fingerprint { target: target(request), digest }
+}
+
+#[cfg(test)]
+mod tests;
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -6,10 +6,12 @@
 
 use acaciaring_core::admission::Ticket;
 use acaciaring_core::{Reason, Refusal, Time};
-use acaciaring_schema::peer::Answer;
+use acaciaring_schema::peer::{Answer, Request};
+use tracing::info;
 
 use super::{Gate, Grant, Job, MOVE_RETRY, request_id};
 use crate::clock;
+use crate::fingerprint::fingerprint;
 use crate::metrics::{Counter, Timer};
 use crate::upstream::{Fence, UpstreamRequest};
 use crate::view::{Shared, UpstreamEndpoint};
@@ -99,11 +101,24 @@
             Err(Refusal { reason: Reason::UpstreamDown, .. }) => {
                 self.shared.upstream_refused.set(clock::now());
             }
+            Err(Refusal { reason: Reason::LostAnswer, .. }) => self.log_lost(request, endpoint),
             _ => {}
         }
         result.map(wire::answer)
     }
 
+    /// Logs which request lost its answer; the same request has the same fingerprint each time.
+    fn log_lost(&self, request: &Request, endpoint: &UpstreamEndpoint) {
+        let fingerprint = fingerprint(request, self.upstream_client.caller_headers());
+        info!(
+            %fingerprint,
+            service = request.workspace,
+            class = request.class,
+            instance = &*endpoint.instance,
+            "the upstream did not answer a request completely"
+        );
+    }
+
     /// Returns the time that a request may take.
     ///
     /// An upstream without fencing could still run a request after the lease has expired and the
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -12,6 +12,7 @@
 mod daemon;
 pub mod declared;
 pub mod entry;
+mod fingerprint;
 mod gate;
 mod gauges;
 mod handler;
