Quarantine requests that crash the upstreams that run them

Cause: nothing recognised a request that came again. Retry budgets count by service and class, and each return has a new attempt id.

A lost answer counts as a strike against a request if its upstream then refuses connections or another incarnation announces itself. Strikes of distinct crashes are shared by the members at once, until acknowledged, and by exchanges with random members; a process that has joined asks for them. An answer of any upstream withdraws them, so a request that merely was in flight collects none. From the second strike on it runs one at a time and is not retried; from the third it is refused for ten minutes, as not run, with the time left in Retry-After. Then it may run again, alone.

Ruled out: a count by entry or by gate alone (three ends are seen by three members), records in the log (the store may be away, and each costs a write), and a mere lost answer as evidence (servers truncate answers and reset connections while they are full).

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lease;
 pub mod orders;
 pub mod pace;
+pub mod quarantine;
 pub mod rates;
 pub mod refusal_cache;
 pub mod retry;
--- /dev/null
+++ b/acaciaring_core/src/quarantine.rs
@@ -0,0 +1,277 @@
+//! Requests that were in flight at upstreams when these crashed.
+//!
+//! Each distinct crash is a strike against all requests that it interrupted, most of which are
+//! innocent. An answer of any upstream withdraws the strikes of a request, so only a request that
+//! no upstream answers collects several. From the second strike on a request runs one at a time
+//! with others like it, so the crash that quarantines one of them cannot be the fault of another.
+//!
+//! Members exchange strikes by the id of the crash. Strikes that arrive twice, late or in another
+//! order give the same result.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id::Fingerprint;
+use crate::time::Time;
+
+/// Random id of one crash of an upstream.
+pub type CrashId = u64;
+
+/// Thresholds and limits of a quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantineSettings {
+    /// Strikes from which a request runs alone.
+    pub alone: usize,
+    /// Strikes from which a request is refused.
+    pub refuse: usize,
+    /// How long a request is refused after its last strike.
+    ///
+    /// Afterwards it may run again, alone, and the next crash quarantines it at once.
+    pub hold: Duration,
+    /// How long strikes are kept after the last one; longer than `hold`.
+    pub retention: Duration,
+    /// Maximum number of requests with strikes.
+    pub max_suspects: usize,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            alone: 2,
+            refuse: 3,
+            hold: Duration::from_mins(10),
+            retention: Duration::from_mins(20),
+            max_suspects: 4096,
+        }
+    }
+}
+
+/// How a request is to be treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Treatment {
+    /// It has no strikes.
+    Normal,
+    /// It has strikes, but runs like any other.
+    Watch,
+    /// It runs while no other request with this treatment does, and is not retried.
+    Alone,
+    /// It is refused for this time.
+    Refuse(Duration),
+}
+
+/// Strikes and last answer of a request, as members exchange them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Identity of the request.
+    pub fingerprint: Fingerprint,
+    /// Crashes that interrupted it, with their ages.
+    pub strikes: Vec<(CrashId, Duration)>,
+    /// Time since an upstream answered it, if one has.
+    pub answered: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    strikes: Vec<(CrashId, Time)>,
+    answered: Option<Time>,
+    /// True if it ran alone or was refused before it was answered.
+    acquitted: bool,
+}
+
+impl Entry {
+    /// Returns when the entry last changed.
+    fn newest(&self) -> Time {
+        let strikes = self.strikes.iter().map(|(_, at)| *at);
+        strikes.chain(self.answered).max().unwrap_or(Time::ZERO)
+    }
+
+    /// Adds what another member knows; returns true if any of it was new.
+    fn merge(&mut self, now: Time, suspect: &Suspect, settings: &QuarantineSettings) -> bool {
+        let past = |age: Duration| Time::from_start(now.since_start().saturating_sub(age));
+        let before = self.strikes.clone();
+        let withdrawn = self.strikes.len() >= settings.alone && suspect.answered.is_some();
+        self.acquitted |= withdrawn;
+        self.answered = self.answered.max(suspect.answered.map(past));
+        for (crash, age) in &suspect.strikes {
+            let known = self.strikes.iter().any(|(id, _)| id == crash);
+            if !known && *age < settings.retention {
+                self.strikes.push((*crash, past(*age)));
+            }
+        }
+        self.withdraw();
+        // Only the newest ones matter.
+        self.strikes.sort_unstable_by_key(|(_, at)| Reverse(*at));
+        self.strikes.truncate(settings.refuse);
+        before != self.strikes
+    }
+
+    fn suspect(&self, now: Time, fingerprint: Fingerprint) -> Suspect {
+        Suspect {
+            fingerprint,
+            strikes: self.strikes.iter().map(|(id, at)| (*id, now.since(*at))).collect(),
+            answered: self.answered.map(|at| now.since(at)),
+        }
+    }
+
+    /// Withdraws the strikes that are older than the last answer.
+    fn withdraw(&mut self) {
+        let answered = self.answered;
+        self.strikes.retain(|(_, at)| answered.is_none_or(|answered| *at > answered));
+    }
+}
+
+/// Requests with strikes.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    entries: HashMap<Fingerprint, Entry>,
+    /// Number of entries by target.
+    targets: HashMap<u64, u32>,
+    /// Entries that were dropped for lack of room.
+    dropped: u64,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    #[must_use]
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Returns true if any request with this target may have strikes.
+    #[must_use]
+    pub fn knows_target(&self, target: u64) -> bool {
+        self.targets.contains_key(&target)
+    }
+
+    /// Returns the number of requests with strikes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if no request has strikes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the number of entries dropped for lack of room since the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Returns how a request is to be treated.
+    #[must_use]
+    pub fn treatment(&self, now: Time, fingerprint: &Fingerprint) -> Treatment {
+        let Some(entry) = self.entries.get(fingerprint) else { return Treatment::Normal };
+        let Some(last) = entry.strikes.iter().map(|(_, at)| *at).max() else {
+            return Treatment::Normal;
+        };
+        let count = entry.strikes.len();
+        let until = last + self.settings.hold;
+        match count {
+            _ if now >= last + self.settings.retention => Treatment::Normal,
+            _ if count >= self.settings.refuse && now < until => {
+                Treatment::Refuse(until.since(now))
+            }
+            _ if count >= self.settings.alone => Treatment::Alone,
+            _ => Treatment::Watch,
+        }
+    }
+
+    /// Records a crash that interrupted these requests.
+    pub fn crashed(&mut self, now: Time, crash: CrashId, interrupted: &[Fingerprint]) {
+        let strikes = vec![(crash, Duration::ZERO)];
+        let suspect = |fingerprint: &Fingerprint| Suspect {
+            fingerprint: *fingerprint,
+            strikes: strikes.clone(),
+            answered: None,
+        };
+        let suspects: Vec<Suspect> = interrupted.iter().map(suspect).collect();
+        self.merge(now, &suspects);
+    }
+
+    /// Records that an upstream answered a request, which withdraws its strikes.
+    ///
+    /// Returns true if it had any, so that the other members must learn it: they count the strikes
+    /// of later crashes too.
+    pub fn answered(&mut self, now: Time, fingerprint: &Fingerprint) -> bool {
+        let Some(entry) = self.entries.get_mut(fingerprint) else { return false };
+        if entry.strikes.is_empty() {
+            return false;
+        }
+        entry.acquitted |= entry.strikes.len() >= self.settings.alone;
+        entry.answered = Some(now);
+        entry.withdraw();
+        true
+    }
+
+    /// Adds what another member knows; returns what of it was new.
+    pub fn merge(&mut self, now: Time, suspects: &[Suspect]) -> Vec<Suspect> {
+        self.expire(now);
+        let mut news = Vec::new();
+        for suspect in suspects {
+            if !self.entries.contains_key(&suspect.fingerprint) {
+                self.make_room();
+                *self.targets.entry(suspect.fingerprint.target).or_default() += 1;
+            }
+            let entry = self.entries.entry(suspect.fingerprint).or_default();
+            if entry.merge(now, suspect, &self.settings) {
+                news.push(entry.suspect(now, suspect.fingerprint));
+            }
+        }
+        news
+    }
+
+    /// Returns the requests that run alone or are refused, and those that no longer are.
+    #[must_use]
+    pub fn serious(&self, now: Time) -> Vec<Suspect> {
+        let serious = |entry: &Entry| entry.strikes.len() >= self.settings.alone || entry.acquitted;
+        let entries = self.entries.iter().filter(|(_, entry)| serious(entry));
+        entries.map(|(fingerprint, entry)| entry.suspect(now, *fingerprint)).collect()
+    }
+
+    /// Returns what is known of a request, if it was answered.
+    #[must_use]
+    pub fn acquittal(&self, now: Time, fingerprint: &Fingerprint) -> Option<Suspect> {
+        let entry = self.entries.get(fingerprint).filter(|entry| entry.answered.is_some())?;
+        Some(entry.suspect(now, *fingerprint))
+    }
+
+    /// Drops entries whose last change is older than the retention.
+    fn expire(&mut self, now: Time) {
+        let retention = self.settings.retention;
+        self.drop_entries(|entry| now >= entry.newest() + retention);
+    }
+
+    /// Drops the oldest entries, those with the fewest strikes first, if there is no room.
+    fn make_room(&mut self) {
+        if self.entries.len() < self.settings.max_suspects {
+            return;
+        }
+        let order = |entry: &Entry| (entry.strikes.len(), entry.newest());
+        let mut orders: Vec<_> = self.entries.values().map(order).collect();
+        orders.sort_unstable();
+        // A quarter at a time, so that a flood of fatal requests does not cost a scan each.
+        let Some(limit) = orders.get(orders.len() / 4).copied() else { return };
+        let before = self.entries.len();
+        self.drop_entries(|entry| order(entry) <= limit);
+        self.dropped += (before - self.entries.len()) as u64;
+    }
+
+    fn drop_entries(&mut self, condemned: impl Fn(&Entry) -> bool) {
+        let targets = &mut self.targets;
+        self.entries.retain(|fingerprint, entry| {
+            let keep = !condemned(entry);
+            if !keep && let Some(count) = targets.get_mut(&fingerprint.target) {
+                *count -= 1;
+                if *count == 0 {
+                    targets.remove(&fingerprint.target);
+                }
+            }
+            keep
+        });
+    }
+}
--- a/acaciaring_core/src/retry.rs
+++ b/acaciaring_core/src/retry.rs
@@ -209,6 +209,7 @@
         | Reason::NoRoute
         | Reason::Cancelled
         | Reason::DedupLost
-        | Reason::BadRequest => false,
+        | Reason::BadRequest
+        | Reason::Quarantined => false,
     }
 }
--- a/acaciaring_core/src/verdict.rs
+++ b/acaciaring_core/src/verdict.rs
@@ -62,6 +62,8 @@
     BadRequest,
     /// No member that may serve the key is reachable.
     Unreachable,
+    /// Several upstreams crashed while they ran the request.
+    Quarantined,
 }
 
 impl Reason {
@@ -84,6 +86,7 @@
             Self::LostAnswer => "lost-answer",
             Self::BadRequest => "bad-request",
             Self::Unreachable => "unreachable",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -26,7 +26,7 @@
 use crate::clock;
 use crate::control::{Control, ControlContext, Event};
 use crate::declared::Declarations;
-use crate::gate::Gate;
+use crate::gate::{Gate, GateContext};
 use crate::gauges;
 use crate::handler::PeerHandler;
 use crate::heartbeat::Heartbeats;
@@ -36,6 +36,7 @@
 use crate::outbox::Outbox;
 use crate::peer::{PeerError, Transport};
 use crate::poll_wait::PollWait;
+use crate::quarantine::Quarantine;
 use crate::read_scheduler::ReadScheduler;
 use crate::reader;
 use crate::recent_records::RecentRecords;
@@ -141,15 +142,23 @@
         let log = adapters.log(transport.runtime());
         let outbox = Outbox::new(&transport);
         let upstream_client = adapters.upstream_client();
-        let gate = Arc::new(Gate::new(
+        let quarantine = Arc::new(Quarantine::new(
             Arc::clone(&shared),
-            Arc::clone(&upstream_client),
-            options::gate_settings(settings),
             transport.clone(),
-            outbox.clone(),
+            upstream_client.caller_headers(),
             metrics.clone(),
-            events.clone(),
         ));
+        quarantine.start();
+        let gate_context = GateContext {
+            shared: Arc::clone(&shared),
+            upstream_client: Arc::clone(&upstream_client),
+            quarantine: Arc::clone(&quarantine),
+            transport: transport.clone(),
+            outbox: outbox.clone(),
+            metrics: metrics.clone(),
+            events: events.clone(),
+        };
+        let gate = Arc::new(Gate::new(options::gate_settings(settings), gate_context));
         deferred.set(PeerHandler {
             events: events.clone(),
             gate: Arc::clone(&gate),
@@ -157,9 +166,11 @@
             recent: Arc::clone(&recent),
             log: Arc::clone(&log),
             declarations: Arc::clone(&declarations),
+            quarantine: Arc::clone(&quarantine),
         });
 
-        let router = router(settings, &shared, &gate, &transport, &metrics, &declarations);
+        let router =
+            router(settings, &shared, &gate, &transport, &metrics, &declarations, quarantine);
         let admin = MemberAdmin {
             events: events.clone(),
             shared: Arc::clone(&shared),
@@ -274,6 +285,7 @@
     transport: &Transport,
     metrics: &Metrics,
     declarations: &Arc<Declarations>,
+    quarantine: Arc<Quarantine>,
 ) -> Router {
     Router {
         shared: Arc::clone(shared),
@@ -283,6 +295,7 @@
         budgets: options::retry_budgets(settings),
         suspects: Suspects::default(),
         refusals: Mutex::default(),
+        quarantine,
         outages: Outages::default(),
         metrics: metrics.clone(),
         wait_limit: WaitLimit::new(settings.entry.workers as usize / WAITER_DIVISOR),
--- a/acaciaringd/src/entry/answer.rs
+++ b/acaciaringd/src/entry/answer.rs
@@ -173,7 +173,8 @@
         | Reason::Cancelled
         | Reason::DedupLost
         | Reason::LostAnswer
-        | Reason::Unreachable => UNAVAILABLE,
+        | Reason::Unreachable
+        | Reason::Quarantined => UNAVAILABLE,
     }
 }
 
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use acaciaring_core::admission::Ticket;
-use acaciaring_core::{Reason, Refusal, Time};
+use acaciaring_core::{Fingerprint, Reason, Refusal, Time};
 use acaciaring_schema::peer::{Answer, Request};
 use tracing::info;
 
 use super::{Gate, Grant, Job, MOVE_RETRY, request_id};
 use crate::clock;
-use crate::fingerprint::fingerprint;
 use crate::metrics::{Counter, Timer};
 use crate::upstream::{Fence, UpstreamRequest};
 use crate::view::{Shared, UpstreamEndpoint};
@@ -33,6 +32,7 @@
         job: &Job<'_>,
         grant: Option<Grant>,
     ) -> Result<Answer, Refusal> {
+        let _turn = self.isolate(job).await?;
         let attempt = job.request.attempt;
         let ticket = Ticket { rank: job.rank, deadline: job.aim, expiry: job.deadline, attempt };
         let moved = self.moved(job, grant);
@@ -46,9 +46,10 @@
         if job.cancelled.is_set() {
             return Err(Refusal::not_run(Reason::Cancelled));
         }
+        let sent = clock::now();
         let result = self.send(job, endpoint, fence).await;
         permit.finish(&result);
-        result
+        self.check_crash(job, endpoint, sent, result).await
     }
 
     /// Completes when the unit is no longer served here.
@@ -101,22 +102,40 @@
             Err(Refusal { reason: Reason::UpstreamDown, .. }) => {
                 self.shared.upstream_refused.set(clock::now());
             }
-            Err(Refusal { reason: Reason::LostAnswer, .. }) => self.log_lost(request, endpoint),
             _ => {}
         }
         result.map(wire::answer)
     }
 
-    /// Logs which request lost its answer; the same request has the same fingerprint each time.
-    fn log_lost(&self, request: &Request, endpoint: &UpstreamEndpoint) {
-        let fingerprint = fingerprint(request, self.upstream_client.caller_headers());
-        info!(
-            %fingerprint,
-            service = request.workspace,
-            class = request.class,
-            instance = &*endpoint.instance,
-            "the upstream did not answer a request completely"
-        );
+    /// Counts a lost answer against the request if the upstream has crashed.
+    ///
+    /// A request that was in flight at several crashes is not retried, which would crash the next
+    /// upstream.
+    async fn check_crash(
+        &self,
+        job: &Job<'_>,
+        endpoint: &UpstreamEndpoint,
+        sent: Time,
+        result: Result<Answer, Refusal>,
+    ) -> Result<Answer, Refusal> {
+        match &result {
+            Ok(_) => {
+                self.crashes.answered(sent, &endpoint.instance);
+                if let Some(fingerprint) = self.quarantine.suspect(job.request) {
+                    self.quarantine.answered(clock::now(), fingerprint);
+                }
+            }
+            Err(Refusal { reason: Reason::LostAnswer, .. }) => {
+                let fingerprint = self.quarantine.fingerprint(job.request);
+                log_lost(job.request, endpoint, &fingerprint);
+                let (address, instance) = (endpoint.address, &endpoint.instance);
+                if !self.crashes.lost(address, instance, fingerprint).await {
+                    return Err(Refusal::unknown(Reason::Quarantined));
+                }
+            }
+            Err(_) => {}
+        }
+        result
     }
 
     /// Returns the time that a request may take.
@@ -130,6 +149,17 @@
     }
 }
 
+/// Logs which request lost its answer; the same request has the same fingerprint each time.
+fn log_lost(request: &Request, endpoint: &UpstreamEndpoint, fingerprint: &Fingerprint) {
+    info!(
+        %fingerprint,
+        service = request.workspace,
+        class = request.class,
+        instance = &*endpoint.instance,
+        "the upstream did not answer a request completely"
+    );
+}
+
 /// Checks the lease immediately before the request is sent to the upstream.
 ///
 /// Guards against a process pause after the first check, during which the lease expires and the key
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -1,7 +1,9 @@
 //! Gate: checks ownership, admission and deduplication of each request to the local upstream.
 
+mod crashes;
 mod dedup;
 mod forward;
+mod isolation;
 mod once;
 mod queue;
 
@@ -19,8 +21,10 @@
 use acaciaring_schema::peer::{Answer, DedupEntry, Intent, Outcome, Request};
 use crossbeam_channel::Sender;
 use parking_lot::Mutex;
+use tokio::sync::Mutex as AsyncMutex;
 use tracing::debug;
 
+use self::crashes::CrashMonitor;
 pub(crate) use self::dedup::{Dedup, DedupHandover, Role};
 use self::queue::Queue;
 use crate::announce::Announcement;
@@ -30,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::peer::{CancelFlag, Transport};
+use crate::quarantine::Quarantine;
 use crate::upstream::UpstreamClient;
 use crate::view::{Permit, Shared, View};
 use crate::wire;
@@ -66,11 +71,27 @@
     pub(crate) rate_settings: RateSettings,
 }
 
+/// Shared state and channels of a gate.
+pub(crate) struct GateContext {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) upstream_client: Arc<dyn UpstreamClient>,
+    pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) transport: Transport,
+    pub(crate) outbox: Outbox,
+    pub(crate) metrics: Metrics,
+    pub(crate) events: Sender<Event>,
+}
+
 /// Gate in front of the local upstream.
 pub(crate) struct Gate {
     shared: Arc<Shared>,
     upstream_client: Arc<dyn UpstreamClient>,
     queue: Queue,
+    /// Requests that crash upstreams.
+    quarantine: Arc<Quarantine>,
+    crashes: Arc<CrashMonitor>,
+    /// Held by the one request that runs alone.
+    alone: AsyncMutex<()>,
     /// Deduplication state of requests that may run at most once.
     pub(crate) dedup: Dedup,
     transport: Transport,
@@ -96,21 +117,20 @@
 
 impl Gate {
     /// Creates a gate.
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        upstream_client: Arc<dyn UpstreamClient>,
-        settings: GateSettings,
-        transport: Transport,
-        outbox: Outbox,
-        metrics: Metrics,
-        events: Sender<Event>,
-    ) -> Self {
+    pub(crate) fn new(settings: GateSettings, context: GateContext) -> Self {
         let GateSettings { admission, rate_settings } = settings;
+        let GateContext { shared, upstream_client, quarantine, transport, outbox, metrics, events } =
+            context;
         let queue = Queue::new(admission, metrics.clone());
+        let runtime = transport.runtime().clone();
+        let crashes = CrashMonitor::new(Arc::clone(&quarantine), runtime, metrics.clone());
         Self {
             shared,
             upstream_client,
             queue,
+            quarantine,
+            crashes: Arc::new(crashes),
+            alone: AsyncMutex::default(),
             dedup: Dedup::default(),
             transport,
             outbox,
@@ -275,6 +295,7 @@
     /// Applies an announcement of the upstream.
     pub(crate) fn announce(&self, now: Time, announcement: &Announcement) {
         self.queue.announce(now, announcement);
+        self.crashes.announced(now, &announcement.instance, announcement.born);
     }
 
     /// Returns the number of requests running or queued, and the concurrency limit.
--- a/acaciaringd/src/handler.rs
+++ b/acaciaringd/src/handler.rs
@@ -11,11 +11,13 @@
 };
 use crossbeam_channel::Sender;
 
+use crate::clock;
 use crate::control::Event;
 use crate::declared::Declarations;
 use crate::gate::Gate;
 use crate::peer::{BoxFuture, CancelFlag, Handler};
 use crate::platform::{AppendError, LogService};
+use crate::quarantine::Quarantine;
 use crate::recent_records::RecentRecords;
 use crate::status;
 use crate::view::Shared;
@@ -28,6 +30,7 @@
     pub(crate) recent: Arc<RecentRecords>,
     pub(crate) log: Arc<dyn LogService>,
     pub(crate) declarations: Arc<Declarations>,
+    pub(crate) quarantine: Arc<Quarantine>,
 }
 
 impl Handler for PeerHandler {
@@ -65,6 +68,7 @@
             call::Body::Records(records) => reply::Body::Records(self.records(&records)),
             call::Body::Append(append) => self.append(append).await,
             call::Body::Declaration(_) => reply::Body::Declaration(self.declarations.newest()),
+            call::Body::Suspects(suspects) => self.quarantine.exchange(clock::now(), &suspects),
             call::Body::Status(_) => reply::Body::Status(self.status()),
             // Answered by the transport, which does not pass them on.
             call::Body::Request(_)
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod platform;
 mod poll_wait;
+mod quarantine;
 mod read_scheduler;
 mod reader;
 mod recent_records;
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -71,6 +71,8 @@
         RequestsRedirected = "requests.redirected", "tries";
         /// Requests refused at the entry because members had just refused similar ones.
         RequestsFull = "requests.full", "requests";
+        /// Requests refused because upstreams crash when they run them.
+        RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
         RequestsRepeated = "requests.repeated", "requests";
         /// Requests refused because the queue for the upstream was full.
@@ -81,6 +83,8 @@
         UpstreamShed = "upstream.shed", "requests";
         /// Requests that the upstream refused because of their fencing token.
         UpstreamFenced = "upstream.fenced", "requests";
+        /// Crashes of the upstream with requests in flight.
+        UpstreamCrashes = "upstream.crashes", "crashes";
         /// Connections to members marked as suspect for lack of an acknowledgement.
         PeerSuspects = "peer.suspects", "connections";
         /// Probes sent after a connection became suspect.
--- /dev/null
+++ b/acaciaringd/src/quarantine.rs
@@ -0,0 +1,298 @@
+//! Quarantine of requests that crash upstreams, shared by all members.
+//!
+//! The member beside an upstream tells the others of each crash at once and retries until they have
+//! acknowledged it. What was lost all the same, or came before a member joined, spreads by periodic
+//! exchanges with random members while there is anything serious to tell.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acaciaring_core::quarantine::{Quarantine as Table, Suspect, Treatment};
+use acaciaring_core::state::Member;
+use acaciaring_core::{Fingerprint, MemberId, Time};
+use acaciaring_schema::peer::{Request, Strike, Suspects, call, reply};
+use parking_lot::Mutex;
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::clock;
+use crate::fingerprint::{fingerprint, target};
+use crate::metrics::{Counter, Metrics};
+use crate::peer::Transport;
+use crate::view::Shared;
+use crate::wire;
+
+/// Number of members that a member tells directly; the others hear it from these.
+const FANOUT: usize = 16;
+
+/// Number of members to which a member passes on what it was told, in a larger fleet.
+const RELAY_FANOUT: usize = 3;
+
+/// Pauses before the further attempts to tell a member.
+const RETRY_PAUSES: [Duration; 5] = [
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(4),
+];
+
+/// Interval of exchanges with a random member.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Exchanges that a new member makes though it has nothing to tell.
+const JOIN_EXCHANGES: u32 = 3;
+
+/// Interval of the log lines about entries dropped for lack of room.
+const DROP_LOG_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Time over which answered requests are gathered for a message to other members.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// Length of a fingerprint in a message, bytes.
+const FINGERPRINT_BYTES: usize = 24;
+
+/// Quarantine of this process.
+pub(crate) struct Quarantine {
+    table: Mutex<Table>,
+    shared: Arc<Shared>,
+    transport: Transport,
+    /// Request headers that identify the caller.
+    caller: &'static [&'static str],
+    metrics: Metrics,
+    /// When dropped entries were last logged.
+    drop_logged: Mutex<Time>,
+    /// Answered requests that other members have not been told yet.
+    answered: Mutex<Vec<Fingerprint>>,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        transport: Transport,
+        caller: &'static [&'static str],
+        metrics: Metrics,
+    ) -> Self {
+        let (table, drop_logged, answered) = Default::default();
+        Self { table, shared, transport, caller, metrics, drop_logged, answered }
+    }
+
+    /// Returns the fingerprint of a request.
+    pub(crate) fn fingerprint(&self, request: &Request) -> Fingerprint {
+        fingerprint(request, self.caller)
+    }
+
+    /// Returns the fingerprint of a request whose target has strikes, else `None`.
+    pub(crate) fn suspect(&self, request: &Request) -> Option<Fingerprint> {
+        let known = self.table.lock().knows_target(target(request));
+        known.then(|| self.fingerprint(request))
+    }
+
+    /// Returns how a request is to be treated.
+    pub(crate) fn treatment(&self, now: Time, fingerprint: &Fingerprint) -> Treatment {
+        self.table.lock().treatment(now, fingerprint)
+    }
+
+    /// Returns for how long a request is refused, `None` if it is not.
+    pub(crate) fn refusal(&self, now: Time, request: &Request) -> Option<Duration> {
+        let fingerprint = self.suspect(request)?;
+        let Treatment::Refuse(left) = self.treatment(now, &fingerprint) else { return None };
+        self.metrics.count(Counter::RequestsQuarantined, 1);
+        Some(left)
+    }
+
+    /// Records requests that were in flight at a crash of the local upstream.
+    pub(crate) fn crashed(&self, now: Time, crash: u64, requests: &[Fingerprint]) {
+        let mut table = self.table.lock();
+        table.crashed(now, crash, requests);
+        for fingerprint in requests {
+            match table.treatment(now, fingerprint) {
+                Treatment::Normal | Treatment::Watch => {}
+                Treatment::Alone => {
+                    info!(%fingerprint, "request was in flight at several crashes, runs alone");
+                }
+                Treatment::Refuse(left) => {
+                    let seconds = left.as_secs();
+                    warn!(%fingerprint, seconds, "request crashes upstreams, refusing it");
+                }
+            }
+        }
+        let dropped = table.take_dropped();
+        drop(table);
+        self.log_dropped(now, dropped);
+    }
+
+    /// Tells other members which requests were in flight at a crash of the local upstream.
+    pub(crate) fn tell_crash(&self, crash: u64, requests: &[Fingerprint]) {
+        let strikes = vec![(crash, Duration::ZERO)];
+        let suspect =
+            |fingerprint| Suspect { fingerprint, strikes: strikes.clone(), answered: None };
+        self.tell(requests.iter().copied().map(suspect).collect(), FANOUT);
+    }
+
+    /// Records that the local upstream answered a request, and tells other members.
+    pub(crate) fn answered(self: &Arc<Self>, now: Time, fingerprint: Fingerprint) {
+        if !self.table.lock().answered(now, &fingerprint) {
+            return;
+        }
+        let mut answered = self.answered.lock();
+        answered.push(fingerprint);
+        if answered.len() > 1 {
+            return;
+        }
+        drop(answered);
+        let quarantine = Arc::clone(self);
+        self.transport.runtime().spawn(async move {
+            sleep(GATHER_TIME).await;
+            let told = std::mem::take(&mut *quarantine.answered.lock());
+            let age = Some(clock::now().since(now));
+            let suspect = |fingerprint| Suspect { fingerprint, strikes: Vec::new(), answered: age };
+            quarantine.tell(told.into_iter().map(suspect).collect(), FANOUT);
+        });
+    }
+
+    /// Merges what another member knows; returns what this one knows.
+    pub(crate) fn exchange(&self, now: Time, message: &Suspects) -> reply::Body {
+        let (named, news) = self.merge(now, message);
+        if !news.is_empty() && self.shared.view().state.members().count() > FANOUT {
+            self.tell(news, RELAY_FANOUT);
+        }
+        let table = self.table.lock();
+        let mut known = table.serious(now);
+        let missing =
+            |suspect: &Suspect| known.iter().all(|k| k.fingerprint != suspect.fingerprint);
+        let others: Vec<Suspect> = named
+            .iter()
+            .filter(|suspect| missing(suspect))
+            .filter_map(|suspect| table.acquittal(now, &suspect.fingerprint))
+            .collect();
+        drop(table);
+        known.extend(others);
+        reply::Body::Suspects(to_wire(&known, Duration::ZERO))
+    }
+
+    /// Merges what another member knows; returns all that it named, and what of it is new.
+    fn merge(&self, now: Time, message: &Suspects) -> (Vec<Suspect>, Vec<Suspect>) {
+        let suspects: Vec<Suspect> = message.suspects.iter().filter_map(from_wire).collect();
+        if suspects.len() < message.suspects.len() {
+            let malformed = message.suspects.len() - suspects.len();
+            warn!(
+                member = message.member,
+                malformed, "ignoring malformed fingerprints of a member"
+            );
+        }
+        let mut table = self.table.lock();
+        let news = table.merge(now, &suspects);
+        for suspect in &news {
+            let fingerprint = &suspect.fingerprint;
+            if let Treatment::Refuse(left) = table.treatment(now, fingerprint) {
+                let (member, seconds) = (message.member, left.as_secs());
+                warn!(%fingerprint, member, seconds, "request crashes upstreams, refusing it");
+            }
+        }
+        let dropped = table.take_dropped();
+        drop(table);
+        self.log_dropped(now, dropped);
+        (suspects, news)
+    }
+
+    fn log_dropped(&self, now: Time, dropped: u64) {
+        let mut logged = self.drop_logged.lock();
+        if dropped > 0 && (*logged == Time::ZERO || now >= *logged + DROP_LOG_INTERVAL) {
+            *logged = now;
+            warn!(dropped, "quarantine is full, forgetting the oldest requests");
+        }
+    }
+
+    /// Tells members in the background, each until it has acknowledged it.
+    fn tell(&self, suspects: Vec<Suspect>, fanout: usize) {
+        let start = clock::now();
+        let suspects = Arc::new(suspects);
+        for (member, to) in self.peers(fanout) {
+            let (transport, shared) = (self.transport.clone(), Arc::clone(&self.shared));
+            let suspects = Arc::clone(&suspects);
+            self.transport.runtime().spawn(async move {
+                for pause in RETRY_PAUSES {
+                    let me = shared.view().me;
+                    let message = message(me, &suspects, clock::now().since(start));
+                    if transport.call(to, message, wire::CALL_TIMEOUT).await.is_ok() {
+                        return;
+                    }
+                    sleep(pause).await;
+                    let present = shared.view().state.member(member).is_some_and(Member::alive);
+                    if !present {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    /// Returns up to `count` random other members.
+    fn peers(&self, count: usize) -> Vec<(MemberId, SocketAddr)> {
+        let view = self.shared.view();
+        let others = view.state.members().filter(|m| m.alive() && Some(m.id) != view.me);
+        let addresses = others.filter_map(|member| Some((member.id, view.peer(member.id)?)));
+        addresses.choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// Starts the periodic exchanges, which end with the runtime of the transport.
+    pub(crate) fn start(self: &Arc<Self>) {
+        let quarantine = Arc::clone(self);
+        self.transport.runtime().spawn(async move { quarantine.run().await });
+    }
+
+    async fn run(&self) {
+        let (mut me, mut exchanges) = (None, 0);
+        loop {
+            sleep(EXCHANGE_INTERVAL).await;
+            let now = clock::now();
+            let current = self.shared.view().me;
+            if current != me {
+                (me, exchanges) = (current, JOIN_EXCHANGES);
+            }
+            let serious = self.table.lock().serious(now);
+            if current.is_none() || (serious.is_empty() && exchanges == 0) {
+                continue;
+            }
+            let Some((_, to)) = self.peers(1).first().copied() else { continue };
+            let message = message(current, &serious, Duration::ZERO);
+            let answer = self.transport.call(to, message, wire::CALL_TIMEOUT).await;
+            if let Ok(reply::Body::Suspects(theirs)) = answer {
+                exchanges = u32::saturating_sub(exchanges, 1);
+                self.merge(clock::now(), &theirs);
+            }
+        }
+    }
+}
+
+fn message(me: Option<MemberId>, suspects: &[Suspect], since: Duration) -> call::Body {
+    call::Body::Suspects(Suspects { member: MemberId::to_wire(me), ..to_wire(suspects, since) })
+}
+
+/// Converts suspects whose ages were taken `since` ago.
+fn to_wire(suspects: &[Suspect], since: Duration) -> Suspects {
+    let strike =
+        |(crash, age): &(u64, Duration)| Strike { crash: *crash, age: wire::millis(*age + since) };
+    let convert = |suspect: &Suspect| acaciaring_schema::peer::Suspect {
+        fingerprint: [&suspect.fingerprint.target.to_be_bytes()[..], &suspect.fingerprint.digest]
+            .concat(),
+        strikes: suspect.strikes.iter().map(strike).collect(),
+        answered: suspect.answered.map(|age| wire::millis(age + since)),
+    };
+    Suspects { member: 0, suspects: suspects.iter().map(convert).collect() }
+}
+
+/// Converts a suspect of a message; `None` if its fingerprint is malformed.
+fn from_wire(suspect: &acaciaring_schema::peer::Suspect) -> Option<Suspect> {
+    let bytes = <[u8; FINGERPRINT_BYTES]>::try_from(suspect.fingerprint.as_slice()).ok()?;
+    let (target, digest) = bytes.split_first_chunk::<8>()?;
+    let fingerprint =
+        Fingerprint { target: u64::from_be_bytes(*target), digest: digest.try_into().ok()? };
+    let age = |millis: u32| Duration::from_millis(u64::from(millis));
+    let strikes = suspect.strikes.iter().map(|strike| (strike.crash, age(strike.age))).collect();
+    Some(Suspect { fingerprint, strikes, answered: suspect.answered.map(age) })
+}
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -48,6 +48,7 @@
 use crate::log_limiter::LogLimiter;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::peer::{CancelFlag, RequestOutcome, Transport};
+use crate::quarantine::Quarantine;
 use crate::view::{Shared, View};
 use crate::wire;
 
@@ -73,6 +74,8 @@
     pub(crate) suspects: Suspects,
     /// Recent refusals of members whose queues were full.
     pub(crate) refusals: Mutex<RefusalCache>,
+    /// Requests that crash upstreams.
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) outages: Outages,
     pub(crate) metrics: Metrics,
     pub(crate) wait_limit: WaitLimit,
@@ -312,7 +315,13 @@
         view: &View,
         target: MemberId,
     ) -> Result<AttemptOutcome, StalledAttempt> {
-        let left = plan.deadline.since(clock::now());
+        let now = clock::now();
+        if let Some(after) = self.quarantine.refusal(now, &plan.request) {
+            let refusal = Refusal::not_run(Reason::Quarantined).after(after);
+            let load = Load { busy: 0, capacity: 0 };
+            return Ok(AttemptOutcome::Refused { refusal, owner: None, load });
+        }
+        let left = plan.deadline.since(now);
         plan.tries.fetch_add(1, Ordering::Relaxed);
         plan.last_member.store(target.0, Ordering::Relaxed);
         let request = Request {
--- a/acaciaringd/src/wire.rs
+++ b/acaciaringd/src/wire.rs
@@ -117,6 +117,7 @@
         Reason::LostAnswer => peer::Reason::LostAnswer,
         Reason::BadRequest => peer::Reason::BadRequest,
         Reason::Unreachable => peer::Reason::Unreachable,
+        Reason::Quarantined => peer::Reason::Quarantined,
     }
 }
 
@@ -136,6 +137,7 @@
         peer::Reason::DedupLost => Reason::DedupLost,
         peer::Reason::BadRequest => Reason::BadRequest,
         peer::Reason::Unreachable => Reason::Unreachable,
+        peer::Reason::Quarantined => Reason::Quarantined,
         // An answer whose reason is missing or unknown is treated as lost.
         peer::Reason::LostAnswer | peer::Reason::None => Reason::LostAnswer,
     }
