Withdraw strikes by the crash, not by the time

Answers withdrew the strikes that were older, by ages that each message carried; a strike that was under way longer than an answer seemed younger than it, and was never withdrawn, since the answering member had none left and told nothing.

An answer withdraws the strikes that are known where it arrives, by the ids of their crashes. So the order of messages does not matter, and a member that names a request in an exchange gets the withdrawals that it missed.

--- a/acaciaring_core/src/quarantine.rs
+++ b/acaciaring_core/src/quarantine.rs
@@ -1,12 +1,13 @@
 //! Requests that were in flight at upstreams when these crashed.
 //!
 //! Each distinct crash is a strike against all requests that it interrupted, most of which are
-//! innocent. An answer of any upstream withdraws the strikes of a request, so only a request that
-//! no upstream answers collects several. From the second strike on a request runs one at a time
-//! with others like it, so the crash that quarantines one of them cannot be the fault of another.
+//! innocent. An answer of any upstream withdraws the strikes that are known where it arrives, so
+//! only a request that no upstream answers collects several. From the second strike on a request
+//! runs one at a time with others like it, so the crash that quarantines one of them cannot be the
+//! fault of another.
 //!
-//! Members exchange strikes by the id of the crash. Strikes that arrive twice, late or in another
-//! order give the same result.
+//! Members exchange strikes by the id of the crash. Strikes and withdrawals that arrive twice, late
+//! or in another order give the same result, without clocks that agree.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -15,6 +16,9 @@
 use crate::id::Fingerprint;
 use crate::time::Time;
 
+/// Maximum number of strikes kept for a request; withdrawn ones go first.
+const MAX_STRIKES: usize = 8;
+
 /// Random id of one crash of an upstream.
 pub type CrashId = u64;
 
@@ -60,64 +64,78 @@
     Refuse(Duration),
 }
 
-/// Strikes and last answer of a request, as members exchange them.
+/// Crash that interrupted a request, as members exchange it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Strike {
+    /// Id of the crash.
+    pub crash: CrashId,
+    /// Time since the crash.
+    pub age: Duration,
+    /// True if an upstream has answered the request since.
+    pub withdrawn: bool,
+}
+
+/// Request with its strikes, as members exchange it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
     /// Identity of the request.
     pub fingerprint: Fingerprint,
-    /// Crashes that interrupted it, with their ages.
-    pub strikes: Vec<(CrashId, Duration)>,
-    /// Time since an upstream answered it, if one has.
-    pub answered: Option<Duration>,
+    /// Crashes that interrupted it.
+    pub strikes: Vec<Strike>,
 }
 
+#[derive(Debug)]
+struct RecordedStrike {
+    crash: CrashId,
+    at: Time,
+    withdrawn: bool,
+}
+
+/// Strikes of one request, newest first.
 #[derive(Debug, Default)]
 struct Entry {
-    strikes: Vec<(CrashId, Time)>,
-    answered: Option<Time>,
-    /// True if it ran alone or was refused before it was answered.
-    acquitted: bool,
+    strikes: Vec<RecordedStrike>,
 }
 
 impl Entry {
-    /// Returns when the entry last changed.
+    /// Returns the number of strikes that are not withdrawn, and the time of the last one.
+    fn standing(&self) -> (usize, Time) {
+        let standing = || self.strikes.iter().filter(|strike| !strike.withdrawn);
+        (standing().count(), standing().next().map_or(Time::ZERO, |strike| strike.at))
+    }
+
     fn newest(&self) -> Time {
-        let strikes = self.strikes.iter().map(|(_, at)| *at);
-        strikes.chain(self.answered).max().unwrap_or(Time::ZERO)
+        self.strikes.first().map_or(Time::ZERO, |strike| strike.at)
     }
 
     /// Adds what another member knows; returns true if any of it was new.
     fn merge(&mut self, now: Time, suspect: &Suspect, settings: &QuarantineSettings) -> bool {
-        let past = |age: Duration| Time::from_start(now.since_start().saturating_sub(age));
-        let before = self.strikes.clone();
-        let withdrawn = self.strikes.len() >= settings.alone && suspect.answered.is_some();
-        self.acquitted |= withdrawn;
-        self.answered = self.answered.max(suspect.answered.map(past));
-        for (crash, age) in &suspect.strikes {
-            let known = self.strikes.iter().any(|(id, _)| id == crash);
-            if !known && *age < settings.retention {
-                self.strikes.push((*crash, past(*age)));
+        let mut changed = false;
+        for strike in &suspect.strikes {
+            let known = self.strikes.iter_mut().find(|known| known.crash == strike.crash);
+            if let Some(known) = known {
+                changed |= strike.withdrawn && !known.withdrawn;
+                known.withdrawn |= strike.withdrawn;
+            } else if strike.age < settings.retention {
+                let at = Time::from_start(now.since_start().saturating_sub(strike.age));
+                let Strike { crash, withdrawn, .. } = *strike;
+                self.strikes.push(RecordedStrike { crash, at, withdrawn });
+                changed = true;
             }
         }
-        self.withdraw();
-        // Only the newest ones matter.
-        self.strikes.sort_unstable_by_key(|(_, at)| Reverse(*at));
-        self.strikes.truncate(settings.refuse);
-        before != self.strikes
+        self.strikes.sort_unstable_by_key(|strike| (strike.withdrawn, Reverse(strike.at)));
+        self.strikes.truncate(MAX_STRIKES);
+        self.strikes.sort_unstable_by_key(|strike| Reverse(strike.at));
+        changed
     }
 
     fn suspect(&self, now: Time, fingerprint: Fingerprint) -> Suspect {
-        Suspect {
-            fingerprint,
-            strikes: self.strikes.iter().map(|(id, at)| (*id, now.since(*at))).collect(),
-            answered: self.answered.map(|at| now.since(at)),
-        }
-    }
-
-    /// Withdraws the strikes that are older than the last answer.
-    fn withdraw(&mut self) {
-        let answered = self.answered;
-        self.strikes.retain(|(_, at)| answered.is_none_or(|answered| *at > answered));
+        let strike = |known: &RecordedStrike| Strike {
+            crash: known.crash,
+            age: now.since(known.at),
+            withdrawn: known.withdrawn,
+        };
+        Suspect { fingerprint, strikes: self.strikes.iter().map(strike).collect() }
     }
 }
 
@@ -145,13 +163,13 @@
         self.targets.contains_key(&target)
     }
 
-    /// Returns the number of requests with strikes.
+    /// Returns the number of requests that have or had strikes.
     #[must_use]
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Returns true if no request has strikes.
+    /// Returns true if no request has or had strikes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -166,10 +184,10 @@
     #[must_use]
     pub fn treatment(&self, now: Time, fingerprint: &Fingerprint) -> Treatment {
         let Some(entry) = self.entries.get(fingerprint) else { return Treatment::Normal };
-        let Some(last) = entry.strikes.iter().map(|(_, at)| *at).max() else {
+        let (count, last) = entry.standing();
+        if count == 0 {
             return Treatment::Normal;
-        };
-        let count = entry.strikes.len();
+        }
         let until = last + self.settings.hold;
         match count {
             _ if now >= last + self.settings.retention => Treatment::Normal,
@@ -183,11 +201,10 @@
 
     /// Records a crash that interrupted these requests.
     pub fn crashed(&mut self, now: Time, crash: CrashId, interrupted: &[Fingerprint]) {
-        let strikes = vec![(crash, Duration::ZERO)];
+        let strike = Strike { crash, age: Duration::ZERO, withdrawn: false };
         let suspect = |fingerprint: &Fingerprint| Suspect {
             fingerprint: *fingerprint,
-            strikes: strikes.clone(),
-            answered: None,
+            strikes: vec![strike],
         };
         let suspects: Vec<Suspect> = interrupted.iter().map(suspect).collect();
         self.merge(now, &suspects);
@@ -195,17 +212,15 @@
 
     /// Records that an upstream answered a request, which withdraws its strikes.
     ///
-    /// Returns true if it had any, so that the other members must learn it: they count the strikes
-    /// of later crashes too.
-    pub fn answered(&mut self, now: Time, fingerprint: &Fingerprint) -> bool {
-        let Some(entry) = self.entries.get_mut(fingerprint) else { return false };
-        if entry.strikes.is_empty() {
-            return false;
+    /// Returns it with its strikes if there were any, so that the other members learn it: they
+    /// count the strikes of later crashes too.
+    pub fn answered(&mut self, now: Time, fingerprint: &Fingerprint) -> Option<Suspect> {
+        let entry = self.entries.get_mut(fingerprint)?;
+        let (standing, _) = entry.standing();
+        for strike in &mut entry.strikes {
+            strike.withdrawn = true;
         }
-        entry.acquitted |= entry.strikes.len() >= self.settings.alone;
-        entry.answered = Some(now);
-        entry.withdraw();
-        true
+        (standing > 0).then(|| entry.suspect(now, *fingerprint))
     }
 
     /// Adds what another member knows; returns what of it was new.
@@ -225,22 +240,23 @@
         news
     }
 
-    /// Returns the requests that run alone or are refused, and those that no longer are.
+    /// Returns the requests that run alone or are refused.
     #[must_use]
     pub fn serious(&self, now: Time) -> Vec<Suspect> {
-        let serious = |entry: &Entry| entry.strikes.len() >= self.settings.alone || entry.acquitted;
+        let serious = |entry: &Entry| entry.standing().0 >= self.settings.alone;
         let entries = self.entries.iter().filter(|(_, entry)| serious(entry));
         entries.map(|(fingerprint, entry)| entry.suspect(now, *fingerprint)).collect()
     }
 
-    /// Returns what is known of a request, if it was answered.
+    /// Returns a request of which strikes were withdrawn.
     #[must_use]
-    pub fn acquittal(&self, now: Time, fingerprint: &Fingerprint) -> Option<Suspect> {
-        let entry = self.entries.get(fingerprint).filter(|entry| entry.answered.is_some())?;
-        Some(entry.suspect(now, *fingerprint))
+    pub fn withdrawn(&self, now: Time, fingerprint: &Fingerprint) -> Option<Suspect> {
+        let entry = self.entries.get(fingerprint)?;
+        let withdrawn = entry.strikes.iter().any(|strike| strike.withdrawn);
+        withdrawn.then(|| entry.suspect(now, *fingerprint))
     }
 
-    /// Drops entries whose last change is older than the retention.
+    /// Drops entries whose last strike is older than the retention.
     fn expire(&mut self, now: Time) {
         let retention = self.settings.retention;
         self.drop_entries(|entry| now >= entry.newest() + retention);
@@ -251,7 +267,7 @@
         if self.entries.len() < self.settings.max_suspects {
             return;
         }
-        let order = |entry: &Entry| (entry.strikes.len(), entry.newest());
+        let order = |entry: &Entry| (entry.standing().0, entry.newest());
         let mut orders: Vec<_> = self.entries.values().map(order).collect();
         orders.sort_unstable();
         // A quarter at a time, so that a flood of fatal requests does not cost a scan each.
--- a/acaciaring_core/tests/quarantine.rs
+++ b/acaciaring_core/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acaciaring_core::quarantine::{Quarantine, QuarantineSettings, Suspect, Treatment};
+use acaciaring_core::quarantine::{Quarantine, QuarantineSettings, Strike, Suspect, Treatment};
 use acaciaring_core::{Fingerprint, Time};
 use proptest::prelude::*;
 
@@ -56,7 +56,7 @@
     strikes(&mut quarantine, fatal, 1..4);
     let later = at(3) + HOLD;
     assert_eq!(quarantine.treatment(later, &fatal), Treatment::Alone);
-    assert!(quarantine.answered(later, &fatal), "other members must learn it");
+    assert!(quarantine.answered(later, &fatal).is_some(), "other members must learn it");
     assert_eq!(quarantine.treatment(later, &fatal), Treatment::Normal);
 }
 
@@ -73,31 +73,37 @@
 
 /// Guards against a frequent request that is refused for crashes that it has merely witnessed.
 #[test]
-fn an_answer_withdraws_strikes_also_those_that_arrive_late() {
+fn an_answer_withdraws_strikes_also_those_that_are_told_again() {
     let mut quarantine = Quarantine::default();
     let frequent = request(1);
     strikes(&mut quarantine, frequent, 1..3);
-    quarantine.answered(at(5), &frequent);
-    let late =
-        Suspect { fingerprint: frequent, strikes: vec![(3, at(6).since(at(4)))], answered: None };
-    quarantine.merge(at(6), &[late]);
+    let told = quarantine.serious(at(4));
+    assert!(quarantine.answered(at(5), &frequent).is_some());
+    quarantine.merge(at(6), &told);
     assert_eq!(quarantine.treatment(at(6), &frequent), Treatment::Normal);
     strikes(&mut quarantine, frequent, 7..8);
     assert_eq!(quarantine.treatment(at(8), &frequent), Treatment::Watch);
 }
 
-/// Guards against a member that counts on after another one has seen an answer.
+/// Guards against a member that counts on after another one has seen an answer, whatever reaches
+/// it first.
 #[test]
 fn an_answer_at_another_member_withdraws_strikes() {
-    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
-    let frequent = request(1);
-    for quarantine in [&mut here, &mut there] {
-        strikes(quarantine, frequent, 1..3);
+    for answer_first in [false, true] {
+        let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+        let frequent = request(1);
+        strikes(&mut there, frequent, 1..3);
+        let told = there.serious(at(3));
+        let answered = [there.answered(at(3), &frequent).expect("it has strikes")];
+        let words = if answer_first { [&answered[..], &told] } else { [&told[..], &answered] };
+        for word in words {
+            here.merge(at(5), word);
+        }
+        strikes(&mut here, frequent, 6..7);
+        assert_eq!(here.treatment(at(7), &frequent), Treatment::Watch);
+        let known = there.withdrawn(at(7), &frequent).expect("it tells who asks");
+        assert!(here.merge(at(7), &[known]).is_empty(), "nothing new");
     }
-    there.answered(at(4), &frequent);
-    here.merge(at(5), &there.serious(at(5)));
-    strikes(&mut here, frequent, 6..7);
-    assert_eq!(here.treatment(at(7), &frequent), Treatment::Watch);
 }
 
 /// Guards against memory that grows with a caller whose fatal requests all differ.
@@ -124,37 +130,15 @@
     assert_eq!(quarantine.len(), 1);
 }
 
-/// What members may learn, in any order and any number of times.
-#[derive(Debug, Clone, Copy)]
-enum Word {
-    Strike { crash: u64, request: u8 },
-    Answer { second: u64, request: u8 },
-}
-
-fn word() -> impl Strategy<Value = Word> {
-    prop_oneof![
-        (0..6_u64, 0..3_u8).prop_map(|(crash, request)| Word::Strike { crash, request }),
-        (0..6_u64, 0..3_u8).prop_map(|(second, request)| Word::Answer { second, request }),
-    ]
-}
-
-/// Second at which all words are learned; crash `n` and the answers of second `n` came before.
+/// Second at which all words are learned; all crashes came before.
 const NOW: u64 = 100;
 
-fn suspect(word: Word) -> Suspect {
-    let age = |second: u64| at(NOW).since(at(second));
-    match word {
-        Word::Strike { crash, request: number } => Suspect {
-            fingerprint: request(number),
-            strikes: vec![(crash, age(crash * 2 + 1))],
-            answered: None,
-        },
-        Word::Answer { second, request: number } => Suspect {
-            fingerprint: request(number),
-            strikes: Vec::new(),
-            answered: Some(age(second * 2)),
-        },
-    }
+/// What members may learn, in any order and any number of times: crash `n` is of second `n`.
+fn word() -> impl Strategy<Value = Suspect> {
+    (0..6_u64, 0..3_u8, any::<bool>()).prop_map(|(crash, number, withdrawn)| Suspect {
+        fingerprint: request(number),
+        strikes: vec![Strike { crash, age: at(NOW).since(at(crash)), withdrawn }],
+    })
 }
 
 proptest! {
@@ -168,10 +152,10 @@
         let mut first = Quarantine::default();
         let mut second = Quarantine::default();
         for word in &words {
-            first.merge(at(NOW), &[suspect(*word)]);
+            first.merge(at(NOW), std::slice::from_ref(word));
         }
         for word in shuffled.iter().chain(&words) {
-            second.merge(at(NOW), &[suspect(*word)]);
+            second.merge(at(NOW), std::slice::from_ref(word));
         }
         for number in 0..3 {
             let fingerprint = request(number);
--- a/acaciaringd/src/quarantine.rs
+++ b/acaciaringd/src/quarantine.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::quarantine::{Quarantine as Table, Suspect, Treatment};
+use acaciaring_core::quarantine::{CrashId, Quarantine as Table, Strike, Suspect, Treatment};
 use acaciaring_core::state::Member;
 use acaciaring_core::{Fingerprint, MemberId, Time};
-use acaciaring_schema::peer::{Request, Strike, Suspects, call, reply};
+use acaciaring_schema::peer::{self, Request, Suspects, call, reply};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
@@ -64,8 +64,8 @@
     metrics: Metrics,
     /// When dropped entries were last logged.
     drop_logged: Mutex<Time>,
-    /// Answered requests that other members have not been told yet.
-    answered: Mutex<Vec<Fingerprint>>,
+    /// Requests with withdrawn strikes that other members have not been told yet.
+    answered: Mutex<Vec<Suspect>>,
 }
 
 impl Quarantine {
@@ -105,7 +105,7 @@
     }
 
     /// Records requests that were in flight at a crash of the local upstream.
-    pub(crate) fn crashed(&self, now: Time, crash: u64, requests: &[Fingerprint]) {
+    pub(crate) fn crashed(&self, now: Time, crash: CrashId, requests: &[Fingerprint]) {
         let mut table = self.table.lock();
         table.crashed(now, crash, requests);
         for fingerprint in requests {
@@ -126,31 +126,28 @@
     }
 
     /// Tells other members which requests were in flight at a crash of the local upstream.
-    pub(crate) fn tell_crash(&self, crash: u64, requests: &[Fingerprint]) {
-        let strikes = vec![(crash, Duration::ZERO)];
-        let suspect =
-            |fingerprint| Suspect { fingerprint, strikes: strikes.clone(), answered: None };
+    pub(crate) fn tell_crash(&self, crash: CrashId, requests: &[Fingerprint]) {
+        let strike = Strike { crash, age: Duration::ZERO, withdrawn: false };
+        let suspect = |fingerprint| Suspect { fingerprint, strikes: vec![strike] };
         self.tell(requests.iter().copied().map(suspect).collect(), FANOUT);
     }
 
     /// Records that the local upstream answered a request, and tells other members.
     pub(crate) fn answered(self: &Arc<Self>, now: Time, fingerprint: Fingerprint) {
-        if !self.table.lock().answered(now, &fingerprint) {
+        let Some(suspect) = self.table.lock().answered(now, &fingerprint) else { return };
+        let gathering = {
+            let mut answered = self.answered.lock();
+            answered.push(suspect);
+            answered.len() > 1
+        };
+        if gathering {
             return;
         }
-        let mut answered = self.answered.lock();
-        answered.push(fingerprint);
-        if answered.len() > 1 {
-            return;
-        }
-        drop(answered);
         let quarantine = Arc::clone(self);
         self.transport.runtime().spawn(async move {
             sleep(GATHER_TIME).await;
             let told = std::mem::take(&mut *quarantine.answered.lock());
-            let age = Some(clock::now().since(now));
-            let suspect = |fingerprint| Suspect { fingerprint, strikes: Vec::new(), answered: age };
-            quarantine.tell(told.into_iter().map(suspect).collect(), FANOUT);
+            quarantine.tell(told, FANOUT);
         });
     }
 
@@ -167,7 +164,7 @@
         let others: Vec<Suspect> = named
             .iter()
             .filter(|suspect| missing(suspect))
-            .filter_map(|suspect| table.acquittal(now, &suspect.fingerprint))
+            .filter_map(|suspect| table.withdrawn(now, &suspect.fingerprint))
             .collect();
         drop(table);
         known.extend(others);
@@ -275,24 +272,28 @@
 
 /// Converts suspects whose ages were taken `since` ago.
 fn to_wire(suspects: &[Suspect], since: Duration) -> Suspects {
-    let strike =
-        |(crash, age): &(u64, Duration)| Strike { crash: *crash, age: wire::millis(*age + since) };
-    let convert = |suspect: &Suspect| acaciaring_schema::peer::Suspect {
-        fingerprint: [&suspect.fingerprint.target.to_be_bytes()[..], &suspect.fingerprint.digest]
-            .concat(),
-        strikes: suspect.strikes.iter().map(strike).collect(),
-        answered: suspect.answered.map(|age| wire::millis(age + since)),
+    let strike = |strike: &Strike| peer::Strike {
+        crash: strike.crash,
+        age: wire::millis(strike.age + since),
+        withdrawn: strike.withdrawn,
+    };
+    let convert = |Suspect { fingerprint, strikes }: &Suspect| peer::Suspect {
+        fingerprint: [&fingerprint.target.to_be_bytes()[..], &fingerprint.digest].concat(),
+        strikes: strikes.iter().map(strike).collect(),
     };
     Suspects { member: 0, suspects: suspects.iter().map(convert).collect() }
 }
 
 /// Converts a suspect of a message; `None` if its fingerprint is malformed.
-fn from_wire(suspect: &acaciaring_schema::peer::Suspect) -> Option<Suspect> {
+fn from_wire(suspect: &peer::Suspect) -> Option<Suspect> {
     let bytes = <[u8; FINGERPRINT_BYTES]>::try_from(suspect.fingerprint.as_slice()).ok()?;
     let (target, digest) = bytes.split_first_chunk::<8>()?;
-    let fingerprint =
-        Fingerprint { target: u64::from_be_bytes(*target), digest: digest.try_into().ok()? };
-    let age = |millis: u32| Duration::from_millis(u64::from(millis));
-    let strikes = suspect.strikes.iter().map(|strike| (strike.crash, age(strike.age))).collect();
-    Some(Suspect { fingerprint, strikes, answered: suspect.answered.map(age) })
+    let target = u64::from_be_bytes(*target);
+    let fingerprint = Fingerprint { target, digest: digest.try_into().ok()? };
+    let strike = |strike: &peer::Strike| Strike {
+        crash: strike.crash,
+        age: Duration::from_millis(u64::from(strike.age)),
+        withdrawn: strike.withdrawn,
+    };
+    Some(Suspect { fingerprint, strikes: suspect.strikes.iter().map(strike).collect() })
 }
