Log what an upstream says about itself

The adapter reads both headers of each response that belongs to its request; the gate logs each change, with the instance. Nothing acts on them yet. A limit that is not a finite number of requests is logged once and ignored.

--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -12,7 +12,7 @@
 use super::{Gate, Grant, Job, MOVE_RETRY, request_id};
 use crate::clock;
 use crate::metrics::{Counter, Timer};
-use crate::upstream::{Fence, UpstreamRequest};
+use crate::upstream::{Fence, UpstreamReply, UpstreamRequest};
 use crate::view::{Shared, UpstreamEndpoint};
 use crate::wire;
 
@@ -89,7 +89,10 @@
             instance: Arc::clone(&endpoint.instance),
         };
         let start = clock::now();
-        let result = self.upstream_client.send(call, job.cancelled).await;
+        let UpstreamReply { result, notice } = self.upstream_client.send(call, job.cancelled).await;
+        if let Some(notice) = notice {
+            self.notices.observe(start, &endpoint.instance, notice);
+        }
         self.metrics.time(Timer::Upstream, clock::now().since(start));
         match &result {
             Err(Refusal { reason: Reason::Busy | Reason::Shed, .. }) => {
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -4,6 +4,7 @@
 mod dedup;
 mod forward;
 mod isolation;
+mod notices;
 mod once;
 mod queue;
 
@@ -26,6 +27,7 @@
 
 use self::crashes::CrashMonitor;
 pub(crate) use self::dedup::{Dedup, DedupHandover, Role};
+use self::notices::Notices;
 use self::queue::Queue;
 use crate::announce::Announcement;
 use crate::clock;
@@ -90,6 +92,7 @@
     /// Requests that crash upstreams.
     quarantine: Arc<Quarantine>,
     crashes: Arc<CrashMonitor>,
+    notices: Notices,
     /// Held by the one request that runs alone.
     alone: AsyncMutex<()>,
     /// Deduplication state of requests that may run at most once.
@@ -130,6 +133,7 @@
             queue,
             quarantine,
             crashes: Arc::new(crashes),
+            notices: Notices::default(),
             alone: AsyncMutex::default(),
             dedup: Dedup::default(),
             transport,
--- a/acaciaringd/src/upstream/client.rs
+++ b/acaciaringd/src/upstream/client.rs
@@ -57,6 +57,30 @@
     pub instance: Arc<str>,
 }
 
+/// What the upstream says about itself in the head of a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UpstreamNotice {
+    /// Requests per second that it accepts from all members together; finite and not negative.
+    pub limit: Option<f64>,
+    /// True if it is leaving.
+    pub leaving: bool,
+}
+
+/// Result of a request, and what the upstream said about itself.
+#[derive(Debug)]
+pub struct UpstreamReply {
+    /// Complete answer, or a refusal.
+    pub result: Result<UpstreamAnswer, Refusal>,
+    /// Notice of the response; `None` without a response that belongs to the request.
+    pub notice: Option<UpstreamNotice>,
+}
+
+impl From<Result<UpstreamAnswer, Refusal>> for UpstreamReply {
+    fn from(result: Result<UpstreamAnswer, Refusal>) -> Self {
+        Self { result, notice: None }
+    }
+}
+
 /// Client of the upstream.
 pub trait UpstreamClient: Send + Sync + 'static {
     /// Sends a request once and waits for its complete answer, at most `left`.
@@ -68,7 +92,7 @@
         &'a self,
         call: UpstreamRequest,
         cancelled: &'a CancelFlag,
-    ) -> BoxFuture<'a, Result<UpstreamAnswer, Refusal>>;
+    ) -> BoxFuture<'a, UpstreamReply>;
 
     /// Sends an order once and waits for its answer until the deadline.
     ///
@@ -123,8 +147,8 @@
         &'a self,
         call: UpstreamRequest,
         cancelled: &'a CancelFlag,
-    ) -> BoxFuture<'a, Result<UpstreamAnswer, Refusal>> {
-        Box::pin(self.run(call, cancelled))
+    ) -> BoxFuture<'a, UpstreamReply> {
+        Box::pin(async move { self.run(call, cancelled).await.into() })
     }
 }
 
--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -36,7 +36,9 @@
 use crate::trace::{Hex, TRACEPARENT, TraceContext};
 pub use crate::upstream::answer::UpstreamAnswer;
 pub(crate) use crate::upstream::client::ThreadedClient;
-pub use crate::upstream::client::{OrderCall, UpstreamClient, UpstreamRequest};
+pub use crate::upstream::client::{
+    OrderCall, UpstreamClient, UpstreamNotice, UpstreamReply, UpstreamRequest,
+};
 use crate::upstream::transport::{NumericResolver, TrackingConnector};
 
 /// Settings of the client of the upstream.
