Keep to the limit on requests that an upstream names

Cause: the header was passed on to callers and read by nobody; admission bounds how many requests run at once, not how many start in a second.

The gate sees all requests of its upstream, whatever the entry, so the limit is a token bucket of its admission. Each request counts for the slot time between two starts at the least, so queue, ranks, shares, late requests and the time after which refused callers are to return hold for the rate as for the slots. Members are told the capacity that the rate leaves, so pools use other members, and entries remember refusals. A response without a limit ends it, unless its request was sent before the limit was named; so does another incarnation.

Ruled out: a share of the limit for each member, which wastes most of it where load is uneven and needs agreement.

--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -4,9 +4,13 @@
 //! remaining slot time; beyond that the more important rank starts first, and within a rank the
 //! earliest deadline. A request that would miss its deadline waits behind all others if a late
 //! answer is useful, else it is refused as soon as the miss can be predicted.
+//!
+//! An upstream may also limit the requests per second. Each request then counts for the slot time
+//! between two starts at the least, so predictions and shares hold for both limits.
 
 mod predict;
 mod queue;
+mod rate;
 mod select;
 mod service;
 mod settings;
@@ -17,6 +21,7 @@
 pub use self::settings::AdmissionSettings;
 
 use self::queue::WaitQueue;
+use self::rate::RateLimit;
 use self::service::ServiceTimes;
 use crate::route::Rank;
 use crate::time::Time;
@@ -101,6 +106,8 @@
     /// [`Admission::overtakes`].
     late: WaitQueue<T>,
     times: ServiceTimes,
+    /// Limit on starts that the upstream has stated.
+    rate: Option<RateLimit>,
     /// Slot time in seconds that each rank is owed while others start before it.
     credit: [f64; RANK_COUNT],
 }
@@ -118,6 +125,7 @@
             waiting: WaitQueue::new(),
             late: WaitQueue::new(),
             times,
+            rate: None,
             credit: [0.0; RANK_COUNT],
         }
     }
@@ -183,7 +191,7 @@
             return Offer::Refused(item, refusal);
         }
         if self.can_start_now(now) {
-            self.record_start(ticket);
+            self.record_start(now, ticket);
             return Offer::Start(item);
         }
         let wait = self.predicted_wait(now, ticket);
@@ -227,7 +235,7 @@
         let mut ahead = self.residual(now);
         let slots = f64::from(self.capacity(now));
         for rank in RANKS {
-            let service = self.times.mean(rank);
+            let service = self.times.slot_time(rank);
             let needed = self.times.upper_estimate(rank, self.settings.deviations);
             let mut own = 0.0;
             for ticket in self.waiting.tickets(rank) {
@@ -259,7 +267,7 @@
                 if now + wait + needed > ticket.expiry {
                     expired.push(ticket.attempt);
                 } else {
-                    ahead += self.times.mean(rank);
+                    ahead += self.times.slot_time(rank);
                 }
             }
         }
@@ -356,9 +364,45 @@
         if warm {
             self.ramp = (self.settings.slots, now);
         }
+        self.update_slot_times();
+        self.start_waiting(now)
+    }
+
+    /// Limits the starts per second as the upstream states; returns the requests to start now.
+    pub fn limit_rate(&mut self, now: Time, limit: Option<f64>) -> Vec<T> {
+        match (&mut self.rate, limit) {
+            (Some(rate), Some(limit)) => rate.set_rate(now, limit),
+            (rate, limit) => *rate = limit.map(|limit| RateLimit::new(now, limit)),
+        }
+        self.update_slot_times();
         self.start_waiting(now)
     }
 
+    /// Returns the waiting requests that the rate limit allows to start by now.
+    pub fn start_due(&mut self, now: Time) -> Vec<T> {
+        if self.rate.is_none() { Vec::new() } else { self.start_waiting(now) }
+    }
+
+    /// Returns the concurrency that the upstream's limit on the rate leaves, at most the slots.
+    #[must_use]
+    pub fn usable_slots(&self, now: Time) -> u32 {
+        let slots = self.capacity(now);
+        let Some(rate) = &self.rate else { return slots };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "it saturates, and is not negative"
+        )]
+        let busy = (rate.rate() * self.times.overall()).ceil() as u32;
+        busy.clamp(1, slots.max(1))
+    }
+
+    /// Makes each request count for the slot time that passes between two starts at the least.
+    fn update_slot_times(&mut self) {
+        let interval = self.rate.as_ref().map_or(0.0, |rate| 1.0 / rate.rate());
+        self.times.set_min_slot_time(f64::from(self.settings.slots) * interval);
+    }
+
     /// Returns the refusal of a request that cannot be admitted whatever the queue holds.
     fn refuse_immediately(&mut self, now: Time, ticket: Ticket) -> Option<Refusal> {
         if let Mode::Shedding(until) = self.mode
@@ -385,8 +429,7 @@
     /// Otherwise an estimate that exceeds all deadlines would block all requests and never be
     /// corrected.
     fn can_start_now(&self, now: Time) -> bool {
-        self.has_free_slot(now)
-            && RANKS.into_iter().all(|rank| self.first_feasible(now, rank).is_none())
+        self.has_room(now) && RANKS.into_iter().all(|rank| self.first_feasible(now, rank).is_none())
     }
 
     /// Removes a request from either queue.
@@ -404,16 +447,21 @@
         all
     }
 
+    /// Returns true if a request may start: a slot is free, and the rate limit allows it.
+    fn has_room(&self, now: Time) -> bool {
+        self.has_free_slot(now) && self.rate.as_ref().is_none_or(|rate| rate.allows(now))
+    }
+
     fn has_free_slot(&self, now: Time) -> bool {
         u32::try_from(self.running.len()).is_ok_and(|count| count < self.capacity(now))
     }
 
     fn start_waiting(&mut self, now: Time) -> Vec<T> {
         let mut started = Vec::new();
-        while self.mode == Mode::Open && self.has_free_slot(now) {
+        while self.mode == Mode::Open && self.has_room(now) {
             let Some(attempt) = self.next(now) else { break };
             let Some((ticket, item)) = self.take(attempt) else { break };
-            self.record_start(ticket);
+            self.record_start(now, ticket);
             started.push(item);
         }
         started
@@ -421,8 +469,11 @@
 
     /// Charges the slot time of a start to its rank and credits the waiting ranks with their
     /// shares.
-    fn record_start(&mut self, ticket: Ticket) {
-        let cost = self.times.mean(ticket.rank);
+    fn record_start(&mut self, now: Time, ticket: Ticket) {
+        if let Some(rate) = &mut self.rate {
+            rate.take(now);
+        }
+        let cost = self.times.slot_time(ticket.rank);
         for rank in RANKS {
             let index = rank as usize;
             if self.waiting.count(rank) == 0 {
@@ -430,7 +481,7 @@
             } else if rank == ticket.rank {
                 self.credit[index] = (self.credit[index] - cost).max(0.0);
             } else {
-                let max_credit = 2.0 * self.times.mean(rank);
+                let max_credit = 2.0 * self.times.slot_time(rank);
                 let earned = cost * self.settings.min_shares[index];
                 self.credit[index] = (self.credit[index] + earned).min(max_credit);
             }
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -21,7 +21,7 @@
             ahead += self.waiting.work(rank, &self.times);
         }
         let before = self.waiting.tickets(ticket.rank).filter(|t| t.deadline <= ticket.deadline);
-        let own = before.map(|_| self.times.mean(ticket.rank)).sum();
+        let own = before.map(|_| self.times.slot_time(ticket.rank)).sum();
         self.bounded_wait(ticket.rank, ahead, own, f64::from(self.capacity(now)))
     }
 
@@ -56,15 +56,19 @@
     pub(super) fn bounded_wait(&self, rank: Rank, ahead: f64, own: f64, slots: f64) -> Duration {
         let behind_all = (ahead + own) / slots;
         let share = self.settings.min_shares[rank as usize];
-        let by_share = (own + self.times.mean(rank)) / (share * slots);
+        let by_share = (own + self.times.slot_time(rank)) / (share * slots);
         let wait = if share > 0.0 { behind_all.min(by_share) } else { behind_all };
         Duration::from_secs_f64(wait)
     }
 
-    /// Returns the expected time until a slot frees, in seconds of slot time; zero with a free
-    /// slot.
+    /// Returns the expected time until a request may start, in seconds of slot time; zero with a
+    /// free slot that the rate limit allows to use.
     pub(super) fn residual(&self, now: Time) -> f64 {
-        if self.has_free_slot(now) { 0.0 } else { self.times.overall() }
+        if !self.has_free_slot(now) {
+            return self.times.overall();
+        }
+        let wait = self.rate.as_ref().map_or(Duration::ZERO, |rate| rate.wait(now));
+        wait.as_secs_f64() * f64::from(self.capacity(now))
     }
 
     /// Returns a refusal whose retry delay is the time in which the present queue is served.
--- a/acaciaring_core/src/admission/queue.rs
+++ b/acaciaring_core/src/admission/queue.rs
@@ -38,7 +38,7 @@
     /// Returns the slot time that the waiting requests of a rank will take, in seconds.
     pub(super) fn work(&self, rank: Rank, times: &ServiceTimes) -> f64 {
         let count = u32::try_from(self.count(rank)).unwrap_or(u32::MAX);
-        f64::from(count) * times.mean(rank)
+        f64::from(count) * times.slot_time(rank)
     }
 
     pub(super) fn push(&mut self, ticket: Ticket, item: T) {
--- a/acaciaring_core/src/admission/select.rs
+++ b/acaciaring_core/src/admission/select.rs
@@ -36,7 +36,7 @@
 
     /// Returns true when a rank is owed at least the slot time of one of its requests.
     fn has_credit(&self, rank: Rank) -> bool {
-        self.credit[rank as usize] >= self.times.mean(rank)
+        self.credit[rank as usize] >= self.times.slot_time(rank)
     }
 
     /// Returns the waiting request that makes room for a new one of `rank`, and why it is refused.
--- a/acaciaring_core/src/admission/service.rs
+++ b/acaciaring_core/src/admission/service.rs
@@ -33,12 +33,18 @@
 pub(super) struct ServiceTimes {
     ranks: [Option<Smoothed>; RANK_COUNT],
     all: Smoothed,
+    /// Slot time in seconds for which each request counts at the least.
+    min_slot_time: f64,
 }
 
 impl ServiceTimes {
     pub(super) fn new(assumed: Duration) -> Self {
         let mean = assumed.as_secs_f64().max(MIN_MEAN_SECS);
-        Self { ranks: [None; RANK_COUNT], all: Smoothed { mean, deviation: 0.0 } }
+        Self {
+            ranks: [None; RANK_COUNT],
+            all: Smoothed { mean, deviation: 0.0 },
+            min_slot_time: 0.0,
+        }
     }
 
     /// Adds a sample of the service time.
@@ -69,6 +75,16 @@
         self.smoothed(rank).mean
     }
 
+    /// Sets the slot time in seconds for which each request counts at the least.
+    pub(super) fn set_min_slot_time(&mut self, seconds: f64) {
+        self.min_slot_time = seconds;
+    }
+
+    /// Returns the slot time in seconds for which a request of a rank counts.
+    pub(super) fn slot_time(&self, rank: Rank) -> f64 {
+        self.mean(rank).max(self.min_slot_time)
+    }
+
     /// Returns the mean of a rank plus a number of mean deviations.
     pub(super) fn upper_estimate(&self, rank: Rank, deviations: f64) -> Duration {
         let Smoothed { mean, deviation } = self.smoothed(rank);
--- a/acaciaringd/src/gate/crashes.rs
+++ b/acaciaringd/src/gate/crashes.rs
@@ -90,18 +90,21 @@
     }
 
     /// Records an announcement of the upstream; another incarnation proves that the last one ended.
-    pub(crate) fn announced(self: &Arc<Self>, now: Time, instance: &str, born: u64) {
+    ///
+    /// Returns true for the first announcement of an incarnation.
+    pub(crate) fn announced(self: &Arc<Self>, now: Time, instance: &str, born: u64) -> bool {
         let former = {
             let mut state = self.state.lock();
             let same = |(known, start): &(Name, u64)| **known == *instance && *start == born;
             if state.announced.as_ref().is_some_and(same) {
-                return;
+                return false;
             }
             state.announced.replace((Name::from(instance), born))
         };
         if let Some((former, _)) = former {
             self.crashed(now, &former);
         }
+        true
     }
 
     /// Records a lost answer; returns true if the request may be retried.
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -91,7 +91,7 @@
         let start = clock::now();
         let UpstreamReply { result, notice } = self.upstream_client.send(call, job.cancelled).await;
         if let Some(notice) = notice {
-            self.notices.observe(start, &endpoint.instance, notice);
+            self.observe(start, &endpoint.instance, notice);
         }
         self.metrics.time(Timer::Upstream, clock::now().since(start));
         match &result {
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -37,7 +37,7 @@
 use crate::outbox::Outbox;
 use crate::peer::{CancelFlag, Transport};
 use crate::quarantine::Quarantine;
-use crate::upstream::UpstreamClient;
+use crate::upstream::{UpstreamClient, UpstreamNotice};
 use crate::view::{Permit, Shared, View};
 use crate::wire;
 
@@ -299,7 +299,20 @@
     /// Applies an announcement of the upstream.
     pub(crate) fn announce(&self, now: Time, announcement: &Announcement) {
         self.queue.announce(now, announcement);
-        self.crashes.announced(now, &announcement.instance, announcement.born);
+        if self.crashes.announced(now, &announcement.instance, announcement.born) {
+            self.notices.reset();
+            self.queue.limit_rate(now, None);
+        }
+    }
+
+    /// Applies what the upstream says about itself in the response to a request sent at `sent`.
+    fn observe(&self, sent: Time, instance: &Name, notice: UpstreamNotice) {
+        let view = self.shared.view();
+        let present = view.endpoint.as_ref().is_some_and(|endpoint| endpoint.instance == *instance);
+        if !present || !self.notices.observe(sent, instance, notice) {
+            return;
+        }
+        self.queue.limit_rate(clock::now(), notice.limit);
     }
 
     /// Returns the number of requests running or queued, and the concurrency limit.
--- a/acaciaringd/src/gate/notices.rs
+++ b/acaciaringd/src/gate/notices.rs
@@ -20,6 +20,11 @@
 }
 
 impl Notices {
+    /// Forgets the notice of a former incarnation.
+    pub(super) fn reset(&self) {
+        *self.state.lock() = None;
+    }
+
     /// Records the notice in the response to a request that was sent at `sent`; returns true if
     /// it is another one than before.
     ///
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -17,7 +17,7 @@
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::peer::CancelFlag;
 
-/// Interval at which one queued request removes expired requests from the queue.
+/// Interval at which one queued request starts due requests and removes expired ones.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Interval at which other queued requests check their own deadline and whether one of them sweeps.
@@ -65,11 +65,11 @@
 
     /// Returns the number of requests running or queued, and the concurrency limit.
     ///
-    /// The limit is 0 while the upstream sheds load.
+    /// The limit is 0 while the upstream sheds load, and lower while it limits the rate.
     pub(crate) fn load(&self) -> (u32, u32) {
         let now = clock::now();
         let admission = self.admission.lock();
-        let capacity = if admission.shedding(now) { 0 } else { admission.capacity(now) };
+        let capacity = if admission.shedding(now) { 0 } else { admission.usable_slots(now) };
         (count(admission.busy()), capacity)
     }
 
@@ -162,6 +162,19 @@
         Ok(ConcurrencyPermit { queue: self, attempt, start: clock::now(), finished: false })
     }
 
+    /// Limits the requests per second at the upstream; `None` ends the limit.
+    pub(crate) fn limit_rate(&self, now: Time, limit: Option<f64>) {
+        let started = self.admission.lock().limit_rate(now, limit);
+        start(started);
+    }
+
+    /// Starts the requests that the rate limit allows by now, and refuses expired ones.
+    fn sweep(&self, now: Time) {
+        let started = self.admission.lock().start_due(now);
+        start(started);
+        self.refuse_expired(now);
+    }
+
     /// Refuses expired requests in the queue.
     fn refuse_expired(&self, now: Time) {
         let expired = self.admission.lock().expire(now);
@@ -234,7 +247,7 @@
                 (true, _) => Reason::Cancelled,
                 (false, true) => Reason::Expired,
                 (false, false) => {
-                    self.queue.refuse_expired(now);
+                    self.queue.sweep(now);
                     continue;
                 }
             };
