Treat the word of an upstream in its answers that it leaves as its announcement

What callers saw: requests sent to a server that had said in its answers that it leaves, until its announcement came; they end with it.

Cause: the same as of the limit, a notice that nobody read. The gate passes it on as the same event as an announcement without a state, so the gate closes a second later and the units move, by one path. A response of an instance that is no longer the present one changes nothing.

--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -22,7 +22,7 @@
 use acaciaring_schema::peer::{Answer, DedupEntry, Intent, Outcome, Request};
 use crossbeam_channel::Sender;
 use parking_lot::Mutex;
-use tokio::sync::Mutex as AsyncMutex;
+use tokio::sync::{Mutex as AsyncMutex, oneshot};
 use tracing::debug;
 
 use self::crashes::CrashMonitor;
@@ -313,6 +313,12 @@
             return;
         }
         self.queue.limit_rate(clock::now(), notice.limit);
+        if notice.leaving {
+            // Nobody waits for the acknowledgement.
+            let (reply, _) = oneshot::channel();
+            // Fails only when the control thread has ended, before the process exits.
+            let _ = self.events.send(Event::UpstreamLeaves(Name::clone(instance), reply));
+        }
     }
 
     /// Returns the number of requests running or queued, and the concurrency limit.
