Name the quarantined request in the log, and bound what members exchange

An operator who has a request's id finds its fingerprint and the decision in one line. The gate counts its refusals like the entry. Exchanges name at most 128 requests, those with the most strikes first; copies of a request that one crash interrupted are one.

--- a/acaciaring_core/src/quarantine.rs
+++ b/acaciaring_core/src/quarantine.rs
@@ -37,6 +37,8 @@
     pub retention: Duration,
     /// Maximum number of requests with strikes.
     pub max_suspects: usize,
+    /// Maximum number of requests that [`Quarantine::serious`] returns.
+    pub max_serious: usize,
 }
 
 impl Default for QuarantineSettings {
@@ -47,6 +49,7 @@
             hold: Duration::from_mins(10),
             retention: Duration::from_mins(20),
             max_suspects: 4096,
+            max_serious: 128,
         }
     }
 }
@@ -240,12 +243,21 @@
         news
     }
 
-    /// Returns the requests that run alone or are refused.
+    /// Returns the requests that run alone or are refused, those with the most strikes first.
     #[must_use]
     pub fn serious(&self, now: Time) -> Vec<Suspect> {
-        let serious = |entry: &Entry| entry.standing().0 >= self.settings.alone;
-        let entries = self.entries.iter().filter(|(_, entry)| serious(entry));
-        entries.map(|(fingerprint, entry)| entry.suspect(now, *fingerprint)).collect()
+        let standing = self.entries.iter().map(|(fingerprint, entry)| {
+            let (count, last) = entry.standing();
+            (count, last, fingerprint, entry)
+        });
+        let mut serious: Vec<_> =
+            standing.filter(|(count, ..)| *count >= self.settings.alone).collect();
+        serious.sort_unstable_by_key(|(count, last, ..)| Reverse((*count, *last)));
+        serious.truncate(self.settings.max_serious);
+        let suspect = |(_, _, fingerprint, entry): (_, _, &Fingerprint, &Entry)| {
+            entry.suspect(now, *fingerprint)
+        };
+        serious.into_iter().map(suspect).collect()
     }
 
     /// Returns a request of which strikes were withdrawn.
--- a/acaciaringd/src/gate/crashes.rs
+++ b/acaciaringd/src/gate/crashes.rs
@@ -186,7 +186,9 @@
                     loss.instance == *instance && now < loss.at + LOSS_RETENTION
                 });
             state.losses = others;
-            let requests: Vec<_> = lost.into_iter().map(|loss| loss.fingerprint).collect();
+            let mut requests: Vec<_> = lost.into_iter().map(|loss| loss.fingerprint).collect();
+            requests.sort_unstable();
+            requests.dedup();
             if requests.is_empty() {
                 return;
             }
--- a/acaciaringd/src/gate/isolation.rs
+++ b/acaciaringd/src/gate/isolation.rs
@@ -18,9 +18,7 @@
         let mut turn = None;
         loop {
             match self.quarantine.treatment(clock::now(), &fingerprint) {
-                Treatment::Refuse(left) => {
-                    return Err(Refusal::not_run(Reason::Quarantined).after(left));
-                }
+                Treatment::Refuse(left) => return Err(self.quarantine.refusal(left)),
                 // Checked again: the request before it may have crashed the upstream.
                 Treatment::Alone if turn.is_none() => turn = Some(self.turn(job).await?),
                 Treatment::Normal | Treatment::Watch | Treatment::Alone => return Ok(turn),
--- a/acaciaringd/src/quarantine.rs
+++ b/acaciaringd/src/quarantine.rs
@@ -10,7 +10,7 @@
 
 use acaciaring_core::quarantine::{CrashId, Quarantine as Table, Strike, Suspect, Treatment};
 use acaciaring_core::state::Member;
-use acaciaring_core::{Fingerprint, MemberId, Time};
+use acaciaring_core::{Fingerprint, MemberId, Reason, Refusal, Time};
 use acaciaring_schema::peer::{self, Request, Suspects, call, reply};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
@@ -87,7 +87,10 @@
 
     /// Returns the fingerprint of a request whose target has strikes, else `None`.
     pub(crate) fn suspect(&self, request: &Request) -> Option<Fingerprint> {
-        let known = self.table.lock().knows_target(target(request));
+        let known = {
+            let table = self.table.lock();
+            !table.is_empty() && table.knows_target(target(request))
+        };
         known.then(|| self.fingerprint(request))
     }
 
@@ -96,12 +99,19 @@
         self.table.lock().treatment(now, fingerprint)
     }
 
-    /// Returns for how long a request is refused, `None` if it is not.
-    pub(crate) fn refusal(&self, now: Time, request: &Request) -> Option<Duration> {
+    /// Returns the fingerprint of a request that is refused, and for how long; else `None`.
+    pub(crate) fn refused(&self, now: Time, request: &Request) -> Option<(Fingerprint, Duration)> {
         let fingerprint = self.suspect(request)?;
-        let Treatment::Refuse(left) = self.treatment(now, &fingerprint) else { return None };
+        match self.treatment(now, &fingerprint) {
+            Treatment::Refuse(left) => Some((fingerprint, left)),
+            Treatment::Normal | Treatment::Watch | Treatment::Alone => None,
+        }
+    }
+
+    /// Returns the refusal of a request for the rest of its quarantine.
+    pub(crate) fn refusal(&self, left: Duration) -> Refusal {
         self.metrics.count(Counter::RequestsQuarantined, 1);
-        Some(left)
+        Refusal::not_run(Reason::Quarantined).after(left)
     }
 
     /// Records requests that were in flight at a crash of the local upstream.
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -24,7 +24,7 @@
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::selector::Selector;
-use acaciaring_core::{KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
+use acaciaring_core::{Fingerprint, KeyHash, MemberId, Reason, Refusal, RequestId, Time, Verdict};
 use acaciaring_schema::peer::{Answer, Request};
 use parking_lot::Mutex;
 use rand::Rng;
@@ -172,6 +172,13 @@
         );
     }
 
+    /// Logs, rate limited, a request that is refused since it crashes upstreams.
+    fn log_quarantined(&self, now: Time, plan: &Plan, fingerprint: &Fingerprint) {
+        let Some(left_out) = self.log_limit.admit(now) else { return };
+        let service = &*plan.route.workspace;
+        info!(request = plan.label, service, %fingerprint, left_out, "request is quarantined");
+    }
+
     /// Counts the verdict of a request, including those that this process refuses itself.
     pub(crate) fn count_verdict(&self, verdict: Verdict) {
         let counter = match verdict {
@@ -316,8 +323,9 @@
         target: MemberId,
     ) -> Result<AttemptOutcome, StalledAttempt> {
         let now = clock::now();
-        if let Some(after) = self.quarantine.refusal(now, &plan.request) {
-            let refusal = Refusal::not_run(Reason::Quarantined).after(after);
+        if let Some((fingerprint, left)) = self.quarantine.refused(now, &plan.request) {
+            self.log_quarantined(now, plan, &fingerprint);
+            let refusal = self.quarantine.refusal(left);
             let load = Load { busy: 0, capacity: 0 };
             return Ok(AttemptOutcome::Refused { refusal, owner: None, load });
         }
