--- a/acaciaringd/src/gate/notices.rs
+++ b/acaciaringd/src/gate/notices.rs
@@ -52,3 +52,6 @@
     let limit = |notice: UpstreamNotice| notice.limit.unwrap_or(f64::INFINITY);
     (former.leaving && !later.leaving) || limit(later) > limit(former)
 }
+
+#[cfg(test)]
+mod tests;
