Count the room of a reply in bytes, not in ranges

Cause: a reply had room for 125 rows of 32 bytes whatever a row takes. Rows are of 26 to 38 bytes: shorter ones left room unused, longer ones exceeded the limit (4,106 bytes at a hundred million records).

Change: the adapter states the bytes of a row, and a grant takes as many units as fit with the tokens as they are sent. No token changes.

Tests: the unit tests took the number of rows from the heartbeat, which now states bytes.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -15,7 +15,7 @@
 
 pub use self::epoch::Epoch;
 pub use self::incarnation::{Incarnation, Incarnations, ReportOutcome};
-pub use self::ranges::{Freed, Granted, Held, Wanted};
+pub use self::ranges::{Freed, Granted, Held, Room, Wanted};
 use self::ranges::{lie_within, overlap, ranges, ranges_overlap};
 use crate::id::{KeyHash, Name, Token, UnitId};
 use crate::time::Time;
@@ -143,7 +143,7 @@
         self.freed.clear();
     }
 
-    /// Returns at most `room` ranges to grant and their duration, `None` for too short a lease.
+    /// Returns the ranges to grant that fit and their duration, `None` for too short a lease.
     ///
     /// Units granted before take precedence over new ones, so that a lack of room does not make
     /// units alternate. The grant expires before `lease`, the expiry of this member's lease, even
@@ -153,7 +153,7 @@
         now: Time,
         lease: Time,
         wanted: &[Wanted],
-        room: usize,
+        room: Room,
     ) -> Option<(Vec<Granted>, Duration)> {
         let hold = lease.since(now).mul_f64(1.0 / (1.0 + CLOCK_DRIFT)).min(self.hold);
         if hold < MIN_GRANT {
@@ -162,13 +162,21 @@
         let known = |wanted: &&Wanted| self.grants.contains_key(&wanted.unit);
         let (mut units, new): (Vec<&Wanted>, Vec<&Wanted>) = wanted.iter().partition(known);
         units.extend(new);
-        let mut granted = ranges(&units);
-        if granted.len() > room {
-            // The number of ranges grows with the units, except where a unit joins two ranges.
-            let fits = |count: &usize| ranges(&units[..*count]).len() <= room;
+        let epoch = self.epoch;
+        let fenced = |units: &[&Wanted]| {
+            let mut granted = ranges(units);
+            for range in &mut granted {
+                range.token = epoch.fence(range.token);
+            }
+            granted
+        };
+        let mut granted = fenced(&units);
+        if !room.fits(&granted) {
+            // The ranges grow with the units, except where a unit joins two ranges.
+            let fits = |count: &usize| room.fits(&fenced(&units[..*count]));
             let counts: Vec<usize> = (0..=units.len()).collect();
             units.truncate(counts.partition_point(fits) - 1);
-            granted = ranges(&units);
+            granted = fenced(&units);
         }
         for grant in self.grants.values_mut() {
             grant.current = false;
@@ -182,9 +190,6 @@
         self.held_until = self.held_until.max(now + hold.mul_f64(1.0 + CLOCK_DRIFT));
         // The upstream counts from when it sent its heartbeat, shortly before this process got it.
         self.expiry = self.incarnations.last_report() + hold.saturating_sub(EFFECT_DELAY);
-        for range in &mut granted {
-            range.token = self.epoch.fence(range.token);
-        }
         Some((granted, hold))
     }
 
--- a/acaciaring_core/src/holds/ranges.rs
+++ b/acaciaring_core/src/holds/ranges.rs
@@ -39,6 +39,23 @@
     pub handover: Name,
 }
 
+/// Room for the ranges of a reply.
+#[derive(Debug, Clone, Copy)]
+pub struct Room {
+    /// Bytes for all ranges.
+    pub bytes: usize,
+    /// Returns the bytes that a range takes without its handover.
+    pub length: fn(&Granted) -> usize,
+}
+
+impl Room {
+    /// Returns true if the ranges fit.
+    #[must_use]
+    pub fn fits(&self, ranges: &[Granted]) -> bool {
+        ranges.iter().map(self.length).sum::<usize>() <= self.bytes
+    }
+}
+
 /// Unit that an upstream is to hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Wanted {
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use acaciaring_core::holds::{
-    Epoch, Freed, Granted, Held, Holds, Incarnation, ReportOutcome, Wanted,
+    Epoch, Freed, Granted, Held, Holds, Incarnation, ReportOutcome, Room, Wanted,
 };
 use acaciaring_core::{KeyHash, Time, Token, UnitId};
 use proptest::prelude::*;
@@ -12,7 +12,12 @@
 const HOLD: Duration = Duration::from_secs(3);
 const REPORT_INTERVAL: Duration = Duration::from_millis(900);
 const UNIT: UnitId = UnitId::slot(1);
-const MAX_RANGES: usize = 100;
+const ROOM: Room = ranges(100);
+
+/// Returns room for a number of ranges.
+const fn ranges(count: usize) -> Room {
+    Room { bytes: count, length: |_| 1 }
+}
 
 fn at(millis: u64) -> Time {
     Time::from_millis(10_000 + millis)
@@ -55,7 +60,7 @@
 ) -> Vec<Granted> {
     let report = holds.report(now, &first_incarnation(), sequence, held.to_vec(), freed.to_vec());
     assert_eq!(report, ReportOutcome::Current);
-    holds.grant(now, now + HOLD * 2, wanted, MAX_RANGES).expect("granted").0
+    holds.grant(now, now + HOLD * 2, wanted, ROOM).expect("granted").0
 }
 
 fn may_hold(holds: &Holds, now: Time, slot: u32) -> bool {
@@ -91,9 +96,9 @@
     let mut holds = established();
     holds.report(at(2700), &first_incarnation(), 9, Vec::new(), Vec::new());
     let lease = at(2700) + Duration::from_secs(1);
-    let (_, hold) = holds.grant(at(2700), lease, &[wanted(1, 7)], MAX_RANGES).expect("granted");
+    let (_, hold) = holds.grant(at(2700), lease, &[wanted(1, 7)], ROOM).expect("granted");
     assert!(at(2700) + hold.mul_f64(1.02) <= lease, "{hold:?}");
-    assert!(holds.grant(at(2700), at(2700), &[wanted(1, 7)], MAX_RANGES).is_none(), "no lease");
+    assert!(holds.grant(at(2700), at(2700), &[wanted(1, 7)], ROOM).is_none(), "no lease");
 }
 
 /// Guards against a unit that moves before the upstream has released it and finished its requests.
@@ -192,13 +197,18 @@
     let mut holds = Holds::new(at(0), HOLD);
     holds.report(at(0), &first_incarnation(), 1, Vec::new(), Vec::new());
     let some: Vec<Wanted> = (10..14).map(|number| wanted(number * 2, 7)).collect();
-    holds.grant(at(0), at(0) + HOLD * 2, &some, 4).expect("granted");
+    holds.grant(at(0), at(0) + HOLD * 2, &some, ranges(4)).expect("granted");
     let more: Vec<Wanted> = (0..14).map(|number| wanted(number * 2, 7)).collect();
-    let (rows, _) = holds.grant(at(900), at(900) + HOLD * 2, &more, 6).expect("granted");
+    let (rows, _) = holds.grant(at(900), at(900) + HOLD * 2, &more, ranges(6)).expect("granted");
     let slots: Vec<u32> = rows.iter().map(|row| row.first / 16).collect();
     assert_eq!(slots, [0, 2, 20, 22, 24, 26]);
     let (joined, _) = holds
-        .grant(at(900), at(900) + HOLD * 2, &(0..200).map(|n| wanted(n, 7)).collect::<Vec<_>>(), 6)
+        .grant(
+            at(900),
+            at(900) + HOLD * 2,
+            &(0..200).map(|n| wanted(n, 7)).collect::<Vec<_>>(),
+            ranges(6),
+        )
         .expect("granted");
     assert_eq!(joined.len(), 1, "adjacent slots are one range");
 }
@@ -233,7 +243,7 @@
             let freed = std::mem::take(&mut releases);
             holds.report(now, &first_incarnation(), sequence, known, freed.clone());
             let wanted = if wants { vec![wanted(1, 7)] } else { Vec::new() };
-            let Some((rows, hold)) = holds.grant(now, now + HOLD, &wanted, MAX_RANGES) else { continue };
+            let Some((rows, hold)) = holds.grant(now, now + HOLD, &wanted, ROOM) else { continue };
             if !replied {
                 releases = freed;
                 continue;
--- a/acaciaring_core/tests/support/cluster.rs
+++ b/acaciaring_core/tests/support/cluster.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use acaciaring_core::holds::{Held, Holds, Incarnation, Wanted};
+use acaciaring_core::holds::{Held, Holds, Incarnation, Room, Wanted};
 use acaciaring_core::lease::{Holder, LeaseSettings};
 use acaciaring_core::rights::{Right, Rights};
 use acaciaring_core::state::{Assignment, Outcome, Phase, State};
@@ -31,7 +31,7 @@
 const SETTLING_ROUNDS: usize = 6;
 
 /// Maximum number of ranges in a reply.
-const MAX_RANGES: usize = 100;
+const ROOM: Room = Room { bytes: 100, length: |_| 1 };
 
 /// Upstream that holds units by grants.
 #[derive(Default)]
@@ -338,7 +338,7 @@
             wanted.push(Wanted { unit, token, keys: self.keys(unit), handover: "".into() });
         }
         let lease = self.holder.until().expect("a lease");
-        let granted = self.holds.grant(now, lease, &wanted, MAX_RANGES);
+        let granted = self.holds.grant(now, lease, &wanted, ROOM);
         granted.expect("a lease that lasts");
         wanted.into_iter().map(|wanted| (wanted.unit, wanted.token)).collect()
     }
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::holds::{Granted, ReportOutcome, Wanted};
+use acaciaring_core::holds::{Granted, ReportOutcome, Room, Wanted};
 use acaciaring_core::rights::Right;
 use acaciaring_core::state::{Attachment, Member, Service, State};
 use acaciaring_core::{Name, Time, UnitId};
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 struct DelayedReply {
     reply: oneshot::Sender<HeartbeatReply>,
-    max_ranges: usize,
+    room: Room,
     until: Time,
 }
 
@@ -136,7 +136,7 @@
         reply: oneshot::Sender<HeartbeatReply>,
     ) {
         let report = self.upstream.mode.report(now, &heartbeat);
-        let Heartbeat { announcement, sequence, max_ranges, .. } = heartbeat;
+        let Heartbeat { announcement, sequence, room, .. } = heartbeat;
         let (instance, born) = (Name::from(announcement.instance.as_str()), announcement.born);
         if report == ReportOutcome::Stale {
             info!(%instance, born, sequence, "ignoring an outdated heartbeat of the upstream");
@@ -163,8 +163,7 @@
         // Only one reply is delayed at a time: one that still has to wait is dropped here, and its
         // sender sends a new heartbeat.
         self.answer_heartbeat(now);
-        self.upstream.delayed =
-            Some(DelayedReply { reply, max_ranges, until: now + MAX_REPLY_DELAY });
+        self.upstream.delayed = Some(DelayedReply { reply, room, until: now + MAX_REPLY_DELAY });
         self.answer_heartbeat(now);
     }
 
@@ -176,10 +175,10 @@
         if now < until && self.move_pending() {
             return;
         }
-        let Some(DelayedReply { reply, max_ranges, .. }) = self.upstream.delayed.take() else {
+        let Some(DelayedReply { reply, room, .. }) = self.upstream.delayed.take() else {
             return;
         };
-        let answer = HeartbeatReply { grants: self.grants(now, max_ranges) };
+        let answer = HeartbeatReply { grants: self.grants(now, room) };
         debug!(ranges = answer.grants.as_ref().map(|(rows, _)| rows.len()), "heartbeat answered");
         // The sender may have disconnected.
         let _ = reply.send(answer);
@@ -232,7 +231,7 @@
     }
 
     /// Returns the grants of a reply and their duration, `None` when the reply can grant nothing.
-    fn grants(&mut self, now: Time, max_ranges: usize) -> Option<(Vec<Granted>, Duration)> {
+    fn grants(&mut self, now: Time, room: Room) -> Option<(Vec<Granted>, Duration)> {
         if matches!(self.upstream.mode, GrantMode::Call(_)) {
             return None;
         }
@@ -245,7 +244,7 @@
         let lease = self.context.shared.lease.get();
         let wanted = self.grantable_units(now, &state, state.service(&workspace)?);
         match &mut self.upstream.mode {
-            GrantMode::Heartbeat(holds) => holds.grant(now, lease, &wanted, max_ranges),
+            GrantMode::Heartbeat(holds) => holds.grant(now, lease, &wanted, room),
             GrantMode::Call(_) => None,
         }
     }
--- a/acaciaringd/src/heartbeat.rs
+++ b/acaciaringd/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use acaciaring_core::Name;
-use acaciaring_core::holds::{Freed, Granted, Held};
+use acaciaring_core::holds::{Freed, Granted, Held, Room};
 use crossbeam_channel::Sender;
 use tokio::sync::oneshot;
 
@@ -21,8 +21,8 @@
     pub held: Vec<Held>,
     /// Ranges that it has released since its last answered heartbeat.
     pub freed: Vec<Freed>,
-    /// Maximum number of ranges in the reply.
-    pub max_ranges: usize,
+    /// Room for ranges in the reply.
+    pub room: Room,
 }
 
 /// Reply to a heartbeat.
