Take callers for 2.6 s of a stop, however long the drain is

Cause: a stopping process takes callers until its own server is idle, at most for half of its drain. The drain follows the grace period (10 s there), so callers were taken for 4.3 s. They leave after two failed readiness checks, a second apart; what comes later has less time than any before it.

Why it holds: the time no longer depends on the drain.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -61,6 +61,12 @@
 /// Part of the drain time in which callers are still accepted: one in this many.
 const ACCEPT_DIVISOR: u32 = 2;
 
+/// Longest time of a stop in which callers are still accepted.
+///
+/// Callers have left after two failed readiness checks, one second apart. What is taken later has
+/// less time to be answered, however long the drain is.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2600);
+
 /// Failure to start the daemon.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -254,7 +260,7 @@
         // Control is still running: it ends only after this event.
         let _ = self.events.send(Event::Stop(start));
         // Waits for the handover or until callers must no longer be accepted.
-        let _ = self.released.recv_timeout(self.drain / ACCEPT_DIVISOR);
+        let _ = self.released.recv_timeout(MAX_ACCEPT_TIME.min(self.drain / ACCEPT_DIVISOR));
         let remaining = || self.drain.saturating_sub(clock::now().since(start));
         let cut = self.listeners.drain(remaining());
         // Fails only if control has already ended.
