Gather news of crashes that is not urgent before passing it on

In a fleet of more than 16 members each member passes on what is new to it.

Change: what a member passes on is gathered for a second, unless a request has two strikes or more, which is still passed on after 20 ms. What a gate tells directly is unchanged, so fleets of up to 16 members see no change.

Exchanges go to two random members a second now, while there is anything serious to exchange.

Tests: quarantine_spread, new, with the relay as the daemon uses it: lost messages, a member that ends with the third crash, members cut off, and the number of messages.

--- a/acaciaring_core/src/quarantine.rs
+++ b/acaciaring_core/src/quarantine.rs
@@ -9,10 +9,13 @@
 //! Members exchange strikes by the id of the crash. Strikes and withdrawals that arrive twice, late
 //! or in another order give the same result, without clocks that agree.
 
+mod relay;
+
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
+pub use self::relay::{Relay, RelaySettings};
 use crate::id::Fingerprint;
 use crate::time::Time;
 
@@ -260,6 +263,15 @@
         serious.into_iter().map(suspect).collect()
     }
 
+    /// Returns the requests of this list that have or had strikes.
+    #[must_use]
+    pub fn suspects(&self, now: Time, fingerprints: &[Fingerprint]) -> Vec<Suspect> {
+        let suspect = |fingerprint: &Fingerprint| {
+            Some(self.entries.get(fingerprint)?.suspect(now, *fingerprint))
+        };
+        fingerprints.iter().filter_map(suspect).collect()
+    }
+
     /// Returns a request of which strikes were withdrawn.
     #[must_use]
     pub fn withdrawn(&self, now: Time, fingerprint: &Fingerprint) -> Option<Suspect> {
--- a/acaciaringd/src/quarantine.rs
+++ b/acaciaringd/src/quarantine.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::quarantine::{CrashId, Quarantine as Table, Strike, Suspect, Treatment};
+use acaciaring_core::quarantine::{
+    CrashId, Quarantine as Table, Relay, Strike, Suspect, Treatment,
+};
 use acaciaring_core::state::Member;
 use acaciaring_core::{Fingerprint, MemberId, Reason, Refusal, Time};
 use acaciaring_schema::peer::{self, Request, Suspects, call, reply};
@@ -27,9 +29,6 @@
 /// Number of members that a member tells directly; the others hear it from these.
 const FANOUT: usize = 16;
 
-/// Number of members to which a member passes on what it was told, in a larger fleet.
-const RELAY_FANOUT: usize = 3;
-
 /// Pauses before the further attempts to tell a member.
 const RETRY_PAUSES: [Duration; 5] = [
     Duration::from_millis(100),
@@ -39,8 +38,9 @@
     Duration::from_secs(4),
 ];
 
-/// Interval of exchanges with a random member.
+/// Interval of exchanges with random members, and their number.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+const EXCHANGE_FANOUT: usize = 2;
 
 /// Exchanges that a new member makes though it has nothing to tell.
 const JOIN_EXCHANGES: u32 = 3;
@@ -66,6 +66,8 @@
     drop_logged: Mutex<Time>,
     /// Requests with withdrawn strikes that other members have not been told yet.
     answered: Mutex<Vec<Suspect>>,
+    /// What other members told and this one passes on in a larger fleet.
+    relay: Mutex<Relay>,
 }
 
 impl Quarantine {
@@ -76,8 +78,8 @@
         caller: &'static [&'static str],
         metrics: Metrics,
     ) -> Self {
-        let (table, drop_logged, answered) = Default::default();
-        Self { table, shared, transport, caller, metrics, drop_logged, answered }
+        let (table, drop_logged, answered, relay) = Default::default();
+        Self { table, shared, transport, caller, metrics, drop_logged, answered, relay }
     }
 
     /// Returns the fingerprint of a request.
@@ -162,11 +164,9 @@
     }
 
     /// Merges what another member knows; returns what this one knows.
-    pub(crate) fn exchange(&self, now: Time, message: &Suspects) -> reply::Body {
+    pub(crate) fn exchange(self: &Arc<Self>, now: Time, message: &Suspects) -> reply::Body {
         let (named, news) = self.merge(now, message);
-        if !news.is_empty() && self.shared.view().state.members().count() > FANOUT {
-            self.tell(news, RELAY_FANOUT);
-        }
+        self.pass_on(now, &news);
         let table = self.table.lock();
         let mut known = table.serious(now);
         let missing =
@@ -206,6 +206,26 @@
         (suspects, news)
     }
 
+    /// Passes on news of other members, unless these tell all members themselves.
+    fn pass_on(self: &Arc<Self>, now: Time, news: &[Suspect]) {
+        if self.shared.view().state.members().count() <= FANOUT {
+            return;
+        }
+        let Some(due) = self.relay.lock().add(now, news) else { return };
+        let quarantine = Arc::clone(self);
+        self.transport.runtime().spawn(async move {
+            sleep(due.since(now)).await;
+            let (requests, fanout) = {
+                let mut relay = quarantine.relay.lock();
+                (relay.take(), relay.fanout())
+            };
+            let suspects = quarantine.table.lock().suspects(clock::now(), &requests);
+            if !suspects.is_empty() {
+                quarantine.tell(suspects, fanout);
+            }
+        });
+    }
+
     fn log_dropped(&self, now: Time, dropped: u64) {
         let mut logged = self.drop_logged.lock();
         if dropped > 0 && (*logged == Time::ZERO || now >= *logged + DROP_LOG_INTERVAL) {
@@ -265,12 +285,13 @@
             if current.is_none() || (serious.is_empty() && exchanges == 0) {
                 continue;
             }
-            let Some((_, to)) = self.peers(1).first().copied() else { continue };
             let message = message(current, &serious, Duration::ZERO);
-            let answer = self.transport.call(to, message, wire::CALL_TIMEOUT).await;
-            if let Ok(reply::Body::Suspects(theirs)) = answer {
-                exchanges = u32::saturating_sub(exchanges, 1);
-                self.merge(clock::now(), &theirs);
+            for (_, to) in self.peers(EXCHANGE_FANOUT) {
+                let answer = self.transport.call(to, message.clone(), wire::CALL_TIMEOUT).await;
+                if let Ok(reply::Body::Suspects(theirs)) = answer {
+                    exchanges = u32::saturating_sub(exchanges, 1);
+                    self.merge(clock::now(), &theirs);
+                }
             }
         }
     }
