Know a fatal request whichever VM it arrives at

What callers would see: a request that had crashed three servers was refused at the VMs of one service, and ran again, up to three times more, at those of each other service.

Cause: the fingerprint held the calling service, which the entry states itself: that of its own VM. The users' page says that such a request comes again at any VM, so the same request had as many fingerprints as there are services. Found by reading the log of a new test, whose crashes bore two fingerprints.

Change: the calling service is no part of the fingerprint, and with it the method by which the adapter named identifying headers goes. Two services that send the same path and body are taken for one caller; an answer to either withdraws the strikes of both. The service that runs the request stays in it: where operators move a route, it is tried anew.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -148,12 +148,8 @@
         let log = adapters.log(transport.runtime());
         let outbox = Outbox::new(&transport);
         let upstream_client = adapters.upstream_client();
-        let quarantine = Arc::new(Quarantine::new(
-            Arc::clone(&shared),
-            transport.clone(),
-            upstream_client.caller_headers(),
-            metrics.clone(),
-        ));
+        let quarantine =
+            Arc::new(Quarantine::new(Arc::clone(&shared), transport.clone(), metrics.clone()));
         quarantine.start();
         let gate_context = GateContext {
             shared: Arc::clone(&shared),
--- a/acaciaringd/src/fingerprint.rs
+++ b/acaciaringd/src/fingerprint.rs
@@ -12,11 +12,11 @@
     Fingerprint::target_of(&request.workspace, &request.method, &request.path)
 }
 
-/// Returns the fingerprint of a request; `caller` names the headers that identify its caller.
+/// Returns the fingerprint of a request.
 ///
-/// Headers that differ from one attempt to the next, the routing key and the time left are no part
-/// of it.
-pub(crate) fn fingerprint(request: &Request, caller: &[&str]) -> Fingerprint {
+/// Other headers, the routing key and the time left are no part of it: they differ from one attempt
+/// to the next, or with the VM at which the request arrives.
+pub(crate) fn fingerprint(request: &Request) -> Fingerprint {
     let mut context = Context::new(&SHA256);
     let mut update = |field: &[u8]| {
         context.update(&(field.len() as u64).to_le_bytes());
@@ -25,11 +25,8 @@
     for field in [&request.workspace, &request.method, &request.path] {
         update(field.as_bytes());
     }
-    let identifies = |name: &str| name == HOST || caller.contains(&name);
-    for header in request.headers.iter().filter(|header| identifies(&header.name)) {
-        update(header.name.as_bytes());
-        update(&header.value);
-    }
+    let hosts = request.headers.iter().filter(|header| header.name == HOST);
+    hosts.for_each(|header| update(&header.value));
     update(&request.body);
     let mut digest = [0; 16];
     digest.copy_from_slice(&context.finish().as_ref()[..16]);
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -11,6 +11,7 @@
 
 use super::{Gate, Grant, Job, MOVE_RETRY, request_id};
 use crate::clock;
+use crate::fingerprint::fingerprint;
 use crate::metrics::{Counter, Timer};
 use crate::upstream::{Fence, UpstreamReply, UpstreamRequest};
 use crate::view::{Shared, UpstreamEndpoint};
@@ -129,7 +130,7 @@
                 }
             }
             Err(Refusal { reason: Reason::LostAnswer, .. }) => {
-                let fingerprint = self.quarantine.fingerprint(job.request);
+                let fingerprint = fingerprint(job.request);
                 log_lost(job.request, endpoint, &fingerprint);
                 let (address, instance) = (endpoint.address, &endpoint.instance);
                 if !self.crashes.lost(address, instance, fingerprint).await {
--- a/acaciaringd/src/quarantine.rs
+++ b/acaciaringd/src/quarantine.rs
@@ -59,8 +59,6 @@
     table: Mutex<Table>,
     shared: Arc<Shared>,
     transport: Transport,
-    /// Request headers that identify the caller.
-    caller: &'static [&'static str],
     metrics: Metrics,
     /// When dropped entries were last logged.
     drop_logged: Mutex<Time>,
@@ -72,19 +70,9 @@
 
 impl Quarantine {
     /// Creates an empty quarantine.
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        transport: Transport,
-        caller: &'static [&'static str],
-        metrics: Metrics,
-    ) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, transport: Transport, metrics: Metrics) -> Self {
         let (table, drop_logged, answered, relay) = Default::default();
-        Self { table, shared, transport, caller, metrics, drop_logged, answered, relay }
-    }
-
-    /// Returns the fingerprint of a request.
-    pub(crate) fn fingerprint(&self, request: &Request) -> Fingerprint {
-        fingerprint(request, self.caller)
+        Self { table, shared, transport, metrics, drop_logged, answered, relay }
     }
 
     /// Returns the fingerprint of a request whose target has strikes, else `None`.
@@ -93,7 +81,7 @@
             let table = self.table.lock();
             !table.is_empty() && table.knows_target(target(request))
         };
-        known.then(|| self.fingerprint(request))
+        known.then(|| fingerprint(request))
     }
 
     /// Returns how a request is to be treated.
--- a/acaciaringd/src/upstream/client.rs
+++ b/acaciaringd/src/upstream/client.rs
@@ -100,13 +100,6 @@
     fn order(&self, _call: OrderCall) -> BoxFuture<'_, Answer> {
         Box::pin(future::ready(Answer::Rejected))
     }
-
-    /// Returns the request headers, in lower case, that identify the caller.
-    ///
-    /// Two requests with the same target, caller and body are the same request sent twice.
-    fn caller_headers(&self) -> &'static [&'static str] {
-        &[]
-    }
 }
 
 /// Client for the acaciaring protocol; blocks one thread for each request.
