Grant nothing that a leaving member can pass to nobody

Cause: the member of the last server gives it up when its connections are refused, and its Leave is folded. It proposes Exit once its upstream holds nothing. Units without a standby stay its own, so it went on granting them; the server came back under its id before the grants had expired, took them, and held them for good, behind a closed gate.

Change: once no request is in flight, a leaving member grants nothing that it still owns. Units with a standby were left out already.

--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -93,6 +93,15 @@
         self.closed && assignment.owner == me && assignment.standby.is_some()
     }
 
+    /// Returns true for a unit that no other member takes over from this leaving one.
+    ///
+    /// The upstream must not be granted such a unit again once nothing runs: the member ends only
+    /// when its upstream holds nothing, and an upstream that comes back would hold it for good.
+    pub(super) fn abandoned(&self, assignment: &Assignment) -> bool {
+        let me = self.identity.as_ref().map(|identity| identity.me);
+        self.leaving() && assignment.owner == me && self.context.shared.inflight.total() == 0
+    }
+
     /// Releases units that have no requests in flight.
     ///
     /// The view without the permit is published before the requests in flight are counted, see
--- a/acaciaringd/src/control/orders.rs
+++ b/acaciaringd/src/control/orders.rs
@@ -38,7 +38,8 @@
         let mut wanted = Vec::with_capacity(units.len());
         for (unit, permit) in units {
             let Permit::Serve { token, .. } = *permit else { continue };
-            if service.assignment(*unit).is_some_and(|assignment| self.closing(assignment)) {
+            let ends = |assignment| self.closing(assignment) || self.abandoned(assignment);
+            if service.assignment(*unit).is_some_and(ends) {
                 continue;
             }
             let keys = service.key_ranges(*unit);
--- a/acaciaringd/src/control/retire.rs
+++ b/acaciaringd/src/control/retire.rs
@@ -37,7 +37,10 @@
             }
             Some(Phase::Alive) if retiring == EndReason::Lease => self.exit(now),
             Some(Phase::Alive) => self.leave(now),
-            Some(Phase::Leaving) if self.releasing(now) || self.has_live_grants(now) => {}
+            // What the upstream is granted depends on the requests in flight.
+            Some(Phase::Leaving) if self.releasing(now) || self.has_live_grants(now) => {
+                self.dirty = true;
+            }
             Some(Phase::Leaving) => self.exit(now),
             Some(Phase::Dead) | None => self.end_identity(),
         }
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -262,7 +262,8 @@
         let live = identity.live(now, state);
         let mut wanted = Vec::new();
         for (unit, assignment) in service.units() {
-            if (assignment.owner != me && assignment.standby != me) || self.closing(assignment) {
+            let ends = self.closing(assignment) || self.abandoned(assignment);
+            if (assignment.owner != me && assignment.standby != me) || ends {
                 continue;
             }
             let Some(identity) = &mut self.identity else { break };
