Name the requests and messages that a stop cuts off

Three lines now do, each only at the end of a stop: the listener's open connections, each request of a caller with the stage of its attempts, and each message of another member with its stage. Both sides name the attempt, by which the lines are joined.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -40,7 +40,9 @@
 use crate::read_scheduler::ReadScheduler;
 use crate::reader;
 use crate::recent_records::RecentRecords;
-use crate::router::{Outages, Router, Suspects, TimeoutHistory, TrafficSplits, WaitLimit};
+use crate::router::{
+    Outages, PendingRequests, Router, Suspects, TimeoutHistory, TrafficSplits, WaitLimit,
+};
 use crate::view::Shared;
 use crate::web::{self, WebError};
 
@@ -104,6 +106,7 @@
     released: Receiver<()>,
     /// Longest duration of a stop.
     drain: Duration,
+    front: Frontend,
     listeners: Box<dyn Listeners>,
     transport: Transport,
     /// Metrics listener; stops when dropped.
@@ -173,6 +176,7 @@
 
         let router =
             router(settings, &shared, &gate, &transport, &metrics, &declarations, quarantine);
+        let front = Frontend { router, declarations: Arc::clone(&declarations) };
         let admin = MemberAdmin {
             events: events.clone(),
             shared: Arc::clone(&shared),
@@ -182,7 +186,7 @@
         let polls = PollWait::new(Arc::clone(&shared), settings.log.wait);
         let listener_context = ListenerContext {
             runtime: transport.runtime().clone(),
-            front: Frontend { router: Arc::new(router), declarations: Arc::clone(&declarations) },
+            front: front.clone(),
             heartbeats: Heartbeats::new(events.clone()),
             declarations: Arc::clone(&declarations),
             polls: polls.clone(),
@@ -225,7 +229,7 @@
         info!(http = %listeners.callers(), peer = %transport.local_addr(),
             admin = %listeners.admin(), "daemon started");
         let drain = settings.limits.drain;
-        Ok(Self { events, control, released, drain, listeners, transport, _page: page })
+        Ok(Self { events, control, released, drain, front, listeners, transport, _page: page })
     }
 
     /// Returns the address that callers connect to.
@@ -259,6 +263,7 @@
         let _ = self.released.recv_timeout(MAX_ACCEPT_TIME.min(self.drain / ACCEPT_DIVISOR));
         let remaining = || self.drain.saturating_sub(clock::now().since(start));
         let cut = self.listeners.drain(remaining());
+        self.front.router.log_cut(clock::now());
         // Fails only if control has already ended.
         let _ = self.events.send(Event::CallersGone);
         let _ = self.control.join();
@@ -288,8 +293,8 @@
     metrics: &Metrics,
     declarations: &Arc<Declarations>,
     quarantine: Arc<Quarantine>,
-) -> Router {
-    Router {
+) -> Arc<Router> {
+    Arc::new(Router {
         shared: Arc::clone(shared),
         gate: Arc::clone(gate),
         transport: transport.clone(),
@@ -299,6 +304,7 @@
         refusals: Mutex::default(),
         quarantine,
         outages: Outages::default(),
+        pending: PendingRequests::default(),
         metrics: metrics.clone(),
         wait_limit: WaitLimit::new(settings.entry.workers as usize / WAITER_DIVISOR),
         splits: TrafficSplits::default(),
@@ -307,7 +313,7 @@
         log_limit: LogLimiter::new(MAX_LOG_LINES),
         late_limit: LogLimiter::new(MAX_LATE_LOG_LINES),
         lag_monitor: LagMonitor::start(transport.runtime()),
-    }
+    })
 }
 
 /// Returns the scheduler of log reads, limited to the configured rate.
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::peer::exchange::{self, SentMessage, abandon, cancel, responds, wait_while_alive};
 use crate::peer::frame::{self, FrameError, FrameReader};
+use crate::peer::outgoing::AttemptStage;
 use crate::peer::search::{AttemptInfo, Found, Search};
 use crate::peer::timeouts;
 use crate::peer::transport::Shared;
@@ -102,6 +103,7 @@
     };
     drop(call);
     let size = frame.len();
+    let _pending = shared.outgoing.add(start.into_std(), attempt, to);
     let sent = match exchange::send(shared, to, frame, repeat, deadline).await {
         Ok(sent) => sent,
         Err(error) => {
@@ -109,6 +111,7 @@
             return RequestOutcome::NotDelivered;
         }
     };
+    shared.outgoing.sent(Instant::now().into_std(), attempt, &sent.link.conn);
     let ack_timeout = exchange::ack_timeout(shared, &sent.link.conn, size);
     let info = AttemptInfo { to, attempt, start, deadline };
     let sent_attempt = SentAttempt { shared, info, silence, arrived: false, sent };
@@ -200,6 +203,7 @@
             return self.finish(reply).await;
         }
         self.sent.link.liveness.touch();
+        self.info.set_stage(self.shared, AttemptStage::Acknowledged);
         let answer = read_answer(&mut self.sent.reader);
         match wait_while_alive(self.shared, &self.sent.link, SILENT_INTERVALS, answer).await {
             Some(reply) => self.finish(reply).await,
@@ -255,6 +259,7 @@
             Found::Outcome(outcome) => outcome,
             // QUIC retransmits the answer for as long as the connection is open.
             Found::AnswerDropped => {
+                info.set_stage(shared, AttemptStage::Dropped);
                 read_answer(&mut sent.reader).await.map_or(RequestOutcome::Lost, outcome_of_answer)
             }
             // An answer that arrived before the close can still be read.
--- a/acaciaringd/src/peer/inflight.rs
+++ b/acaciaringd/src/peer/inflight.rs
@@ -1,50 +1,126 @@
 //! Tracking of messages that are being handled, so that a stop can wait for their answers.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Instant;
 
-/// Counts the messages in flight and refuses new ones once it is closed.
+use parking_lot::Mutex;
+
+/// Kind of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    Request,
+    Fetch,
+    Call,
+}
+
+impl Kind {
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Fetch => "fetch",
+            Self::Call => "call",
+        }
+    }
+}
+
+/// What a message waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Its handler is running.
+    Running,
+    /// Its answer is written and not acknowledged yet.
+    Answering,
+    /// Its connection ended before the answer was acknowledged; the sender may still fetch it.
+    Kept,
+}
+
+impl Stage {
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Answering => "answering",
+            Self::Kept => "kept",
+        }
+    }
+}
+
+/// Message in flight, as the logs name it.
+#[derive(Debug, Clone)]
+pub(super) struct Message {
+    pub kind: Kind,
+    /// Attempt that a request or fetch belongs to; zero for a call.
+    pub attempt: u64,
+    pub from: SocketAddr,
+    pub stage: Stage,
+    /// When the message was received.
+    pub since: Instant,
+    /// When its stage began.
+    pub changed: Instant,
+}
+
+impl Message {
+    pub fn new(now: Instant, kind: Kind, attempt: u64, from: SocketAddr) -> Self {
+        Self { kind, attempt, from, stage: Stage::Running, since: now, changed: now }
+    }
+}
+
+/// Keeps the messages in flight and refuses new ones once it is closed.
 #[derive(Debug, Default)]
-pub(super) struct InflightTracker {
-    count: AtomicUsize,
-    closed: AtomicBool,
+pub(super) struct InflightTracker(Mutex<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    messages: HashMap<u64, Message>,
+    /// Number of messages so far, which numbers the next one.
+    count: u64,
+    closed: bool,
     /// Set once a message ended without being settled.
-    uncertain: AtomicBool,
+    uncertain: bool,
 }
 
 impl InflightTracker {
-    /// Counts a message until the guard is dropped; `None` once the tracker is closed.
-    pub fn try_track(self: &Arc<Self>) -> Option<InflightGuard> {
-        // Counted before the check, so that either `close` sees the count or this sees the close.
-        let guard = self.track();
-        if self.closed.load(Ordering::SeqCst) {
-            guard.settle();
+    /// Tracks a message until the guard is dropped; `None` once the tracker is closed.
+    pub fn try_track(self: &Arc<Self>, message: Message) -> Option<InflightGuard> {
+        let mut inner = self.0.lock();
+        if inner.closed {
             return None;
         }
-        Some(guard)
+        Some(self.add(&mut inner, message))
+    }
+
+    /// Tracks a message, even if the tracker is closed.
+    pub fn track(self: &Arc<Self>, message: Message) -> InflightGuard {
+        self.add(&mut self.0.lock(), message)
     }
 
-    /// Counts a message, even if the tracker is closed.
-    pub fn track(self: &Arc<Self>) -> InflightGuard {
-        self.count.fetch_add(1, Ordering::SeqCst);
-        InflightGuard { tracker: Arc::clone(self), settled: false }
+    fn add(self: &Arc<Self>, inner: &mut Inner, message: Message) -> InflightGuard {
+        let id = inner.count;
+        inner.count += 1;
+        inner.messages.insert(id, message);
+        InflightGuard { tracker: Arc::clone(self), id, settled: false }
     }
 
     /// Refuses further messages.
     pub fn close(&self) {
-        self.closed.store(true, Ordering::SeqCst);
+        self.0.lock().closed = true;
     }
 
     /// Returns the number of messages in flight.
     pub fn count(&self) -> usize {
-        self.count.load(Ordering::SeqCst)
+        self.0.lock().messages.len()
+    }
+
+    /// Returns the messages in flight.
+    pub fn messages(&self) -> Vec<Message> {
+        self.0.lock().messages.values().cloned().collect()
     }
 
     /// Returns whether the tracker is closed and every message was settled.
     pub fn is_settled(&self) -> bool {
-        self.closed.load(Ordering::SeqCst)
-            && self.count() == 0
-            && !self.uncertain.load(Ordering::SeqCst)
+        let inner = self.0.lock();
+        inner.closed && inner.messages.is_empty() && !inner.uncertain
     }
 }
 
@@ -52,10 +128,19 @@
 #[derive(Debug)]
 pub(super) struct InflightGuard {
     tracker: Arc<InflightTracker>,
+    id: u64,
     settled: bool,
 }
 
 impl InflightGuard {
+    /// Records what the message waits for from now on.
+    pub fn set_stage(&self, now: Instant, stage: Stage) {
+        if let Some(message) = self.tracker.0.lock().messages.get_mut(&self.id) {
+            message.stage = stage;
+            message.changed = now;
+        }
+    }
+
     /// Ends a message whose answer the sender has, or that had no effect.
     pub fn settle(mut self) {
         self.settled = true;
@@ -64,9 +149,8 @@
 
 impl Drop for InflightGuard {
     fn drop(&mut self) {
-        if !self.settled {
-            self.tracker.uncertain.store(true, Ordering::SeqCst);
-        }
-        self.tracker.count.fetch_sub(1, Ordering::SeqCst);
+        let mut inner = self.tracker.0.lock();
+        inner.uncertain |= !self.settled;
+        inner.messages.remove(&self.id);
     }
 }
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -15,6 +15,7 @@
 use crate::peer::cancel::CancelFlag;
 use crate::peer::exchange::responds;
 use crate::peer::frame;
+use crate::peer::inflight::{InflightGuard, Stage};
 use crate::peer::serve::{write_frame, write_last};
 use crate::peer::transport::Shared;
 use crate::trace::TraceContext;
@@ -22,12 +23,14 @@
 /// Runs a request at most once and writes its answer.
 ///
 /// Returns false if the connection ended before the answer was acknowledged. `delayed_conn` is the
-/// connection of a request whose sender must confirm that it still waits.
+/// connection of a request whose sender must confirm that it still waits; `guard` tracks the
+/// request.
 pub(super) async fn serve_request(
     shared: &Arc<Shared>,
     request: Request,
     send: &mut SendStream,
     delayed_conn: Option<Connection>,
+    guard: &InflightGuard,
 ) -> bool {
     let attempt = request.attempt;
     let flag = match shared.table.arrive(attempt) {
@@ -46,6 +49,7 @@
     });
     // Recorded even if the stream has failed, since the answer can be fetched on another one.
     let frame = finish(shared, attempt, answer);
+    guard.set_stage(Instant::now(), Stage::Answering);
     write_frame(send, frame).await
 }
 
--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -14,6 +14,7 @@
 use crate::peer::attempt::{RequestOutcome, SILENT_INTERVALS};
 use crate::peer::exchange::{self, call_on, probe, wait_while_alive};
 use crate::peer::link::{Link, LinkId};
+use crate::peer::outgoing::AttemptStage;
 use crate::peer::transport::Shared;
 
 /// New connections that are tried without a pause before the member counts as silent.
@@ -32,6 +33,7 @@
 const MIN_RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 
 /// Identity and times of an attempt.
+#[derive(Clone, Copy)]
 pub(super) struct AttemptInfo {
     pub to: SocketAddr,
     pub attempt: u64,
@@ -39,6 +41,13 @@
     pub deadline: Instant,
 }
 
+impl AttemptInfo {
+    /// Records what the attempt waits for from now on.
+    pub fn set_stage(&self, shared: &Shared, stage: AttemptStage) {
+        shared.outgoing.set_stage(Instant::now().into_std(), self.attempt, stage);
+    }
+}
+
 /// Search for an attempt, on new connections and on the original one.
 ///
 /// It ends with an answer, with proof that there will be none, or at the deadline, but not because
@@ -73,6 +82,7 @@
 
 impl Search<'_> {
     pub async fn run(mut self) -> Found {
+        self.info.set_stage(self.shared, AttemptStage::Searching);
         let mut newer_than = self.sent.id;
         for _ in 0..MAX_NEW_LINKS {
             if let Some(found) = self.ask_on_new_link(&mut newer_than).await {
@@ -81,6 +91,7 @@
         }
         self.shared.metrics.count(Counter::PeerSilent, 1);
         self.silence.notify_one();
+        self.info.set_stage(self.shared, AttemptStage::Silent);
         let mut pause = MIN_PAUSE;
         while !self.sent.has_stopped() {
             let found = match self.ask_during_pause(pause).await {
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use prost::Message;
@@ -18,6 +18,7 @@
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
+use crate::peer::inflight::{Kind, Message as Tracked, Stage};
 use crate::peer::link::{Link, Liveness, greet};
 use crate::peer::pool::HANDSHAKE_FACTOR;
 use crate::peer::run::serve_request;
@@ -138,14 +139,22 @@
             return reset(&mut send, error.code());
         }
     };
-    let Some(body) = serve_attempt_query(&shared, body, &mut send).await else { return };
-    let Some(guard) = shared.inflight.try_track() else { return reset(&mut send, Code::Busy) };
+    let Some(body) = serve_attempt_query(&shared, from, body, &mut send).await else { return };
+    let (kind, attempt) = match &body {
+        call::Body::Request(request) => (Kind::Request, request.attempt),
+        _ => (Kind::Call, 0),
+    };
+    let message = Tracked::new(Instant::now(), kind, attempt, from);
+    let Some(guard) = shared.inflight.try_track(message) else {
+        return reset(&mut send, Code::Busy);
+    };
     let answered = match body {
         call::Body::Request(mut request) => {
             let delay = shared.lags.delay(process, request.clock);
             deduct_delay(&mut request, delay);
             let delayed_conn = (delay >= DELAY_LIMIT).then_some(conn);
-            if !serve_request(&shared, request, &mut send, delayed_conn).await {
+            if !serve_request(&shared, request, &mut send, delayed_conn, &guard).await {
+                guard.set_stage(Instant::now(), Stage::Kept);
                 // Keeps the message in flight while its sender fetches the answer elsewhere.
                 time::sleep(shared.settings.connect).await;
             }
@@ -164,6 +173,7 @@
 /// is fetched on another one.
 async fn serve_attempt_query(
     shared: &Shared,
+    from: SocketAddr,
     body: call::Body,
     send: &mut SendStream,
 ) -> Option<call::Body> {
@@ -174,8 +184,10 @@
         call::Body::Fetch(fetch) => {
             // Counted as in flight: if the first connection has failed, only this one delivers the
             // answer.
-            let guard = shared.inflight.track();
+            let message = Tracked::new(Instant::now(), Kind::Fetch, fetch.attempt, from);
+            let guard = shared.inflight.track(message);
             let answer = serve_fetch(shared, fetch).await;
+            guard.set_stage(Instant::now(), Stage::Answering);
             write_last(shared, send, reply::Body::Fetch(FetchReply { answer })).await;
             guard.settle();
             return None;
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use crossbeam_channel::bounded;
@@ -13,7 +13,7 @@
 
 use crate::peer;
 use crate::peer::frame::{self, Code, FrameError};
-use crate::peer::inflight::InflightTracker;
+use crate::peer::inflight::{InflightTracker, Kind, Message};
 use crate::peer::transport::Shared;
 use crate::peer::{PeerSettings, RequestOutcome, Transport};
 
@@ -26,6 +26,10 @@
     transport.shared()
 }
 
+fn message() -> Message {
+    Message::new(Instant::now(), Kind::Call, 0, SocketAddr::from(([127, 0, 0, 1], 1)))
+}
+
 /// Writes raw bytes on a new stream and returns the error of reading the reply.
 async fn send_raw(shared: &Arc<Shared>, to: SocketAddr, bytes: Bytes, finish: bool) -> FrameError {
     let link = shared.pool.get(shared, to, 0).await.unwrap();
@@ -249,7 +253,7 @@
 #[test]
 fn a_stop_after_a_panic_is_not_settled() {
     let tracker = Arc::new(InflightTracker::default());
-    drop(tracker.try_track().unwrap());
+    drop(tracker.try_track(message()).unwrap());
     tracker.close();
     assert_eq!(tracker.count(), 0);
     assert!(!tracker.is_settled());
@@ -259,9 +263,9 @@
 #[test]
 fn a_stop_that_refuses_messages_settles_earlier_ones() {
     let tracker = Arc::new(InflightTracker::default());
-    let guard = tracker.try_track().unwrap();
+    let guard = tracker.try_track(message()).unwrap();
     tracker.close();
-    assert!(tracker.try_track().is_none());
+    assert!(tracker.try_track(message()).is_none());
     assert!(!tracker.is_settled());
     guard.settle();
     assert!(tracker.is_settled());
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -12,7 +12,7 @@
 use snafu::ResultExt;
 use tokio::runtime::Handle;
 use tokio::time;
-use tracing::error;
+use tracing::{error, warn};
 
 use acaciaring_schema::peer::{Answer, Datagram, Request, call, reply};
 use prost::Message;
@@ -21,12 +21,13 @@
 use crate::peer::attempt::{RequestOutcome, RunningRequest};
 use crate::peer::cancel::CancelFlag;
 use crate::peer::error::{BindSnafu, CallError, ConnectError, PeerError, ThreadsSnafu};
-use crate::peer::exchange;
+use crate::peer::exchange::{self, millis};
 use crate::peer::frame::Code;
-use crate::peer::inflight::InflightTracker;
+use crate::peer::inflight::{InflightTracker, Message as Unsettled};
 use crate::peer::lags::Lags;
 use crate::peer::limiter::RequestLimiter;
 use crate::peer::link::LinkId;
+use crate::peer::outgoing::{Outgoing, PendingAttempt};
 use crate::peer::pool::Pool;
 use crate::peer::serve;
 use crate::peer::settings::PeerSettings;
@@ -82,6 +83,8 @@
     pub registry: Registry,
     /// Messages of other members that are being handled.
     pub inflight: Arc<InflightTracker>,
+    /// Attempts of this process at other members.
+    pub outgoing: Arc<Outgoing>,
     pub metrics: Metrics,
     links: AtomicU64,
     stopped: AtomicBool,
@@ -157,6 +160,7 @@
             lags: Lags::default(),
             registry: Registry::default(),
             inflight: Arc::default(),
+            outgoing: Arc::default(),
             metrics,
             links: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
@@ -323,10 +327,19 @@
         while shared.inflight.count() > 0 && start.elapsed() < bound {
             thread::sleep(POLL_INTERVAL);
         }
-        let remaining = shared.inflight.count();
+        let remaining = shared.inflight.messages();
+        for message in &remaining {
+            log_unsettled(Instant::now(), message);
+        }
         // The close code tells senders whether unanswered messages were refused or may have run.
         self.close(if shared.inflight.is_settled() { Code::Settled } else { Code::Stopping });
-        remaining
+        remaining.len()
+    }
+
+    /// Returns the requests to other members whose outcome is not known yet.
+    #[must_use]
+    pub fn pending(&self) -> Vec<PendingAttempt> {
+        self.inner.shared.outgoing.pending()
     }
 
     fn close(&self, code: Code) {
@@ -348,3 +361,17 @@
         }
     }
 }
+
+/// Logs a message that a stop cuts off.
+fn log_unsettled(now: Instant, message: &Unsettled) {
+    let Unsettled { kind, attempt, from, stage, since, changed } = message;
+    warn!(
+        kind = kind.as_str(),
+        attempt,
+        %from,
+        stage = stage.as_str(),
+        age_ms = millis(now.duration_since(*since)),
+        stage_ms = millis(now.duration_since(*changed)),
+        "stopped before the sender of a message had its answer"
+    );
+}
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod member_backoff;
 mod outages;
 mod outcome;
+mod pending;
 mod pooled;
 mod retry_budgets;
 mod stalled;
@@ -34,6 +35,7 @@
 use self::outcome::{
     AttemptOutcome, Load, classify, entry_answer, reached_upstream, with_retry_after,
 };
+pub(crate) use self::pending::PendingRequests;
 pub(crate) use self::retry_budgets::{ClusterBudget, RetryBudgets};
 use self::stalled::StalledAttempt;
 pub(crate) use self::suspects::Suspects;
@@ -77,6 +79,8 @@
     /// Requests that crash upstreams.
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) outages: Outages,
+    /// Requests that have no answer yet.
+    pub(crate) pending: PendingRequests,
     pub(crate) metrics: Metrics,
     pub(crate) wait_limit: WaitLimit,
     /// Weighted split of routes that several workspaces serve.
@@ -107,6 +111,8 @@
     /// Number of attempts and the member of the last one, for the logs.
     tries: AtomicU32,
     last_member: AtomicU64,
+    /// Numbers of the attempts at other members.
+    attempts: Mutex<Vec<u64>>,
 }
 
 impl Plan {
@@ -123,7 +129,11 @@
         let received = request.received;
         let label = request.label.clone();
         let answer = match self.plan(request) {
-            Ok(plan) => self.route(&plan).await,
+            Ok(plan) => {
+                let plan = Arc::new(plan);
+                let _pending = self.pending.add(&plan);
+                self.route(&plan).await
+            }
             Err(answer) => {
                 self.log_refused(&label, &answer);
                 answer
@@ -249,6 +259,7 @@
             received,
             tries,
             last_member,
+            attempts: Mutex::default(),
         })
     }
 
@@ -345,6 +356,7 @@
             let answer = self.gate.run(&request, &CancelFlag::default()).await;
             return Ok(classify(RequestOutcome::Answer(answer)));
         }
+        plan.attempts.lock().push(request.attempt);
         match view.peer(target) {
             Some(address) => self.forward(target, address, request, left).await,
             None => Ok(AttemptOutcome::Undelivered),
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -167,9 +167,15 @@
         let start = std::time::Instant::now();
         loop {
             std::thread::sleep(POLL_INTERVAL);
-            if self.connections.load(Ordering::Acquire) == 0 || start.elapsed() >= bound {
-                return self.requests.load(Ordering::Acquire);
+            let connections = self.connections.load(Ordering::Acquire);
+            if connections > 0 && start.elapsed() < bound {
+                continue;
             }
+            let requests = self.requests.load(Ordering::Acquire);
+            if connections > 0 {
+                warn!(connections, requests, "listener closes connections at the end of its drain");
+            }
+            return requests;
         }
     }
 }
