Ask for an answer on the newest connection once the first has ended

Cause: a search for an attempt asks on three new connections, which a member short of processor lets time out within 0.6 s. It then pauses for 250, 500 and 1000 ms and asks meanwhile on the connection of the request alone. If that one has ended, it asks nobody for 1.75 s, and then for 2 s at a time.

Change: during a pause the search asks on the newest connection too, whichever answers first, and reconnects after any pause if neither is open.

peer::search::tests forces the order (first connection closed, newer one silent for a while, no further one possible): "Lost" after 20 s before, the answer now.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -228,7 +228,8 @@
             error if error.refusal().is_some() => RequestOutcome::NotDelivered,
             FrameError::Broken { .. } | FrameError::Ended => {
                 let Self { shared, info, silence, arrived, sent } = self;
-                let search = Search { shared, info, silence, arrived, sent: &sent.link };
+                let search =
+                    Search { shared, info, silence, arrived, sent: &sent.link, newest: None };
                 match search.run().await {
                     Found::Outcome(outcome) => outcome,
                     Found::AnswerDropped | Found::Stopped => RequestOutcome::Lost,
@@ -246,7 +247,7 @@
             %to, attempt, arrived, link = sent.link.id,
             "connection is suspect, searching for the attempt on new connections"
         );
-        let search = Search { shared, info, silence, arrived, sent: &sent.link };
+        let search = Search { shared, info, silence, arrived, sent: &sent.link, newest: None };
         let mut search = pin!(search.run());
         let found = tokio::select! {
             reply = read_answer(&mut sent.reader) => match outcome_of_reply(reply) {
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -22,7 +22,7 @@
 mod settings;
 mod table;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod threads;
 mod timeouts;
 mod tls;
--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -1,9 +1,12 @@
 //! Search for an attempt whose connection is silent or has failed.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use quinn::Connection;
 use tokio::sync::Notify;
 use tokio::time::{self, Instant};
 
@@ -61,6 +64,8 @@
     pub arrived: bool,
     /// Connection on which the attempt was sent.
     pub sent: &'a Link,
+    /// Newest connection on which it was asked for.
+    pub newest: Option<Arc<Link>>,
 }
 
 /// Result of a search.
@@ -73,6 +78,27 @@
     Stopped,
 }
 
+/// Result of asking on one connection.
+#[derive(Debug)]
+enum Asked {
+    /// The attempt has not arrived and is refused from now on.
+    NotArrived,
+    /// The attempt has arrived, and the reply to a fetch if it came in time.
+    Arrived(Option<reply::Body>),
+    /// The connection has ended or is silent.
+    Silent,
+}
+
+impl Asked {
+    /// Returns this result, or that of the other connection if this one is silent.
+    async fn or(self, other: impl Future<Output = Self>) -> Self {
+        match self {
+            Self::Silent => other.await,
+            asked => asked,
+        }
+    }
+}
+
 /// Result of a pause.
 enum PauseOutcome {
     Ended(Found),
@@ -96,7 +122,7 @@
         while !self.sent.has_stopped() {
             let found = match self.ask_during_pause(pause).await {
                 PauseOutcome::Ended(found) => Some(found),
-                PauseOutcome::Silent if pause >= MIN_RECONNECT_PAUSE => {
+                PauseOutcome::Silent if pause >= MIN_RECONNECT_PAUSE || !self.is_open() => {
                     self.ask_on_new_link(&mut newer_than).await
                 }
                 PauseOutcome::Alive | PauseOutcome::Silent => None,
@@ -116,6 +142,7 @@
         if link.process != self.sent.process {
             return Some(Found::Outcome(RequestOutcome::Lost));
         }
+        self.newest = Some(Arc::clone(&link));
         if !self.arrived {
             self.shared.metrics.count(Counter::PeerProbes, 1);
             let arrived = probe(self.shared, &link.conn, self.info.attempt).await?;
@@ -128,29 +155,62 @@
         Some(fetch_result(reply))
     }
 
-    /// Waits, and meanwhile asks on the original connection.
+    /// Returns whether a connection is open on which to ask during a pause.
+    fn is_open(&self) -> bool {
+        self.sent.is_open() || self.newest.as_ref().is_some_and(|link| link.is_open())
+    }
+
+    /// Waits, and meanwhile asks on the original connection and on the newest one.
     ///
-    /// A member that lacked processor time answers there first, since it needs no handshake.
+    /// A member that lacked processor time answers there first, since they need no handshake. The
+    /// original connection may have ended, and the newest one may have been slow only at its start.
     async fn ask_during_pause(&mut self, pause: Duration) -> PauseOutcome {
         let end = Instant::now() + pause;
-        let conn = &self.sent.conn;
+        let newest = self.newest.clone();
+        let asked = {
+            let mut first = pin!(self.ask(&self.sent.conn, end));
+            let mut second = pin!(async {
+                match &newest {
+                    Some(link) => self.ask(&link.conn, end).await,
+                    None => Asked::Silent,
+                }
+            });
+            tokio::select! {
+                biased;
+                asked = &mut first => asked.or(second).await,
+                asked = &mut second => asked.or(first).await,
+            }
+        };
+        match asked {
+            Asked::NotArrived => match self.record_arrival(false) {
+                Some(outcome) => PauseOutcome::Ended(Found::Outcome(outcome)),
+                None => PauseOutcome::Alive,
+            },
+            Asked::Arrived(reply) => {
+                self.arrived = true;
+                reply.map_or(PauseOutcome::Alive, |reply| PauseOutcome::Ended(fetch_result(reply)))
+            }
+            Asked::Silent => {
+                time::sleep_until(end).await;
+                PauseOutcome::Silent
+            }
+        }
+    }
+
+    /// Asks on a connection whether the attempt has arrived, and then for its answer, until `end`.
+    async fn ask(&self, conn: &Connection, end: Instant) -> Asked {
         let body = call::Body::Probe(Probe { attempt: self.info.attempt });
         let probed = time::timeout_at(end, call_on(self.shared, conn, body)).await;
         let Ok(Some(reply::Body::Probe(ProbeReply { arrived }))) = probed else {
-            time::sleep_until(end).await;
-            return PauseOutcome::Silent;
+            return Asked::Silent;
         };
-        if let Some(outcome) = self.record_arrival(arrived) {
-            return PauseOutcome::Ended(Found::Outcome(outcome));
+        if !arrived && !self.arrived {
+            return Asked::NotArrived;
         }
-        let fetched = time::timeout_at(end, call_on(self.shared, conn, self.fetch())).await;
-        match fetched {
-            Ok(Some(reply)) => PauseOutcome::Ended(fetch_result(reply)),
-            Ok(None) => {
-                time::sleep_until(end).await;
-                PauseOutcome::Silent
-            }
-            Err(_) => PauseOutcome::Alive,
+        match time::timeout_at(end, call_on(self.shared, conn, self.fetch())).await {
+            Ok(Some(reply)) => Asked::Arrived(Some(reply)),
+            Ok(None) => Asked::Silent,
+            Err(_) => Asked::Arrived(None),
         }
     }
 
@@ -185,3 +245,6 @@
         _ => Found::AnswerDropped,
     }
 }
+
+#[cfg(test)]
+mod tests;
