Keep a replaced connection open while requests on it are answered

Cause: two members share the connection that one of them has opened. When that one opens a newer connection, because it has heard nothing for a while, it drops the former, and the drop closes it, whatever the other member waits for on it.

Change: a message that is being answered holds the connection, so it closes after the last of them. New messages use the newer connection already.

peer::search::tests::a_replaced_connection_is_open_until_its_requests_are_answered failed before ("closed with a request on it").

--- a/acaciaringd/src/peer/search/tests.rs
+++ b/acaciaringd/src/peer/search/tests.rs
@@ -6,6 +6,8 @@
 use crossbeam_channel::{Receiver, Sender, bounded};
 use quinn::Connection;
 
+use acaciaring_schema::peer::Datagram;
+
 use crate::peer::frame::Code;
 use crate::peer::link::Link;
 use crate::peer::tests::support::{
@@ -119,3 +121,27 @@
     assert_eq!(pair.outcome(running), answered());
     assert_eq!(pair.server.runs(), 1);
 }
+
+/// Guards against a member that closes a connection which it opened, and replaced, while requests
+/// on it are unanswered.
+#[test]
+fn a_replaced_connection_is_open_until_its_requests_are_answered() {
+    let pair = Pair::start();
+    let (here, there) = (pair.client.transport.local_addr(), pair.server.transport.local_addr());
+    let greet = |reconnect| {
+        pair.server.transport.send(here, &Datagram::default(), reconnect);
+        pair.client.datagrams.recv_timeout(WAIT_TIMEOUT).unwrap();
+    };
+    greet(false);
+    let ends = pair.member_ends();
+    let transport = pair.client.transport.clone();
+    let mut running = transport.start_request(there, request("a"), WAIT_TIMEOUT);
+    block_until(&transport, &mut running, &pair.started);
+    assert_eq!(transport.traffic().connections, 1, "it uses the member's connection");
+    greet(true);
+    wait_for(|| transport.traffic().connections != 1);
+    assert!(ends.iter().all(|end| end.close_reason().is_none()), "closed with a request on it");
+    pair.resume.send(()).unwrap();
+    assert_eq!(pair.outcome(running), answered());
+    wait_for(|| ends.iter().all(|end| end.close_reason().is_some()));
+}
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -1,7 +1,7 @@
 //! Receiving side: accepts connections, reads messages and answers them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -59,17 +59,21 @@
 }
 
 /// Serves a connection in the background until it ends.
+///
+/// A connection that this process opened closes once it is replaced and no message on it is being
+/// answered.
 #[allow(clippy::needless_pass_by_value)] // The task must not hold the link, whose drop closes it.
 pub(super) fn start(shared: &Arc<Shared>, link: Arc<Link>, peer: SocketAddr) {
     let id = link.id;
     let conn = link.conn.clone();
     let liveness = link.liveness.clone();
     let process = link.process;
+    let weak = Arc::downgrade(&link);
     drop(link);
     shared.registry.open(id, conn.clone());
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        let reason = receive_loop(&shared, &conn, process, &liveness).await;
+        let reason = receive_loop(&shared, &conn, process, &liveness, &weak).await;
         debug!(%peer, %reason, "connection ended");
         shared.registry.close(id);
         shared.pool.forget(peer, id, &reason);
@@ -82,12 +86,14 @@
     conn: &Connection,
     process: u64,
     liveness: &Liveness,
+    link: &Weak<Link>,
 ) -> ConnectionError {
     let from = conn.remote_address();
     loop {
         let received = tokio::select! {
             stream = conn.accept_bi() => stream.map(|(send, recv)| {
-                let origin = StreamOrigin { address: from, process, conn: conn.clone() };
+                let link = link.upgrade();
+                let origin = StreamOrigin { address: from, process, conn: conn.clone(), link };
                 tokio::spawn(stream_task(Arc::clone(shared), origin, send, recv));
             }),
             datagram = conn.read_datagram() => datagram.map(|bytes| {
@@ -114,6 +120,8 @@
     /// Random id of this run of its process.
     process: u64,
     conn: Connection,
+    /// Keeps the connection open while the message is answered, even if it is replaced.
+    link: Option<Arc<Link>>,
 }
 
 /// Answers the message on one stream.
@@ -123,7 +131,7 @@
     mut send: SendStream,
     recv: RecvStream,
 ) {
-    let StreamOrigin { address: from, process, conn } = origin;
+    let StreamOrigin { address: from, process, conn, link: _link } = origin;
     let mut reader = FrameReader::new(recv, shared.settings.message_limit);
     let call = reader.next::<Call>().await;
     let body = call.and_then(|call| call.body.ok_or(FrameError::Unknown));
