End a search when a stop is told on any connection of the member

What callers saw: a request whose member had gone waited for its whole time, or until its entry closed the connection, where the entry could have said earlier that it may have run, or tried another member.

Cause: a search ends if the connection on which the request was sent closes with the code of a stop. Where that connection had ended before (replaced, lost), the code arrives on a newer one and was not looked at; and even where it did arrive on the first one, three new connections of 0.5 s each were tried before it was looked at.

Change: the transport remembers which processes have told that they stop, and a search looks there first. A late packet with the answer is still read for one response timeout.

peer::search::tests::a_stop_that_is_told_on_a_newer_connection_ends_a_search failed before: only the request's deadline of 20 s ended the search.

--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -264,8 +264,11 @@
                 read_answer(&mut sent.reader).await.map_or(RequestOutcome::Lost, outcome_of_answer)
             }
             // An answer that arrived before the close can still be read.
-            Found::Stopped => outcome_of_reply(read_answer(&mut sent.reader).await)
-                .unwrap_or(RequestOutcome::Lost),
+            Found::Stopped => {
+                let timeout = timeouts::response_timeout(shared, &sent.link.conn);
+                let reply = timeouts::reply_within(timeout, read_answer(&mut sent.reader)).await;
+                reply.and_then(outcome_of_reply).unwrap_or(RequestOutcome::Lost)
+            }
         };
         if outcome == RequestOutcome::NotDelivered {
             abandon(&mut sent.stream);
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -95,10 +95,7 @@
 
     /// Returns whether the peer closed the connection because its process stops.
     pub fn has_stopped(&self) -> bool {
-        let Some(ConnectionError::ApplicationClosed(close)) = self.conn.close_reason() else {
-            return false;
-        };
-        [Code::Stopping, Code::Settled].map(VarInt::from).contains(&close.error_code)
+        self.conn.close_reason().is_some_and(|reason| is_stop(&reason))
     }
 
     /// Returns the number of packets received.
@@ -122,6 +119,12 @@
     }
 }
 
+/// Returns whether a connection ended because the peer's process stops.
+pub(super) fn is_stop(reason: &ConnectionError) -> bool {
+    let ConnectionError::ApplicationClosed(close) = reason else { return false };
+    [Code::Stopping, Code::Settled].map(VarInt::from).contains(&close.error_code)
+}
+
 /// Opens a stream on a connection and returns its two halves.
 pub(super) async fn open(conn: &Connection, limit: usize) -> Option<(SendStream, FrameReader)> {
     let (send, recv) = conn.open_bi().await.ok()?;
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -20,6 +20,7 @@
 mod search;
 mod serve;
 mod settings;
+mod stopped;
 mod table;
 #[cfg(test)]
 pub(crate) mod tests;
--- a/acaciaringd/src/peer/search.rs
+++ b/acaciaringd/src/peer/search.rs
@@ -111,6 +111,9 @@
         self.info.set_stage(self.shared, AttemptStage::Searching);
         let mut newer_than = self.sent.id;
         for _ in 0..MAX_NEW_LINKS {
+            if self.has_stopped() {
+                return Found::Stopped;
+            }
             if let Some(found) = self.ask_on_new_link(&mut newer_than).await {
                 return found;
             }
@@ -119,7 +122,7 @@
         self.silence.notify_one();
         self.info.set_stage(self.shared, AttemptStage::Silent);
         let mut pause = MIN_PAUSE;
-        while !self.sent.has_stopped() {
+        while !self.has_stopped() {
             let found = match self.ask_during_pause(pause).await {
                 PauseOutcome::Ended(found) => Some(found),
                 PauseOutcome::Silent if pause >= MIN_RECONNECT_PAUSE || !self.is_open() => {
@@ -155,6 +158,11 @@
         Some(fetch_result(reply))
     }
 
+    /// Returns whether the member's process has told on any connection that it stops.
+    fn has_stopped(&self) -> bool {
+        self.sent.has_stopped() || self.shared.stopped_peers.contains(self.sent.process)
+    }
+
     /// Returns whether a connection is open on which to ask during a pause.
     fn is_open(&self) -> bool {
         self.sent.is_open() || self.newest.as_ref().is_some_and(|link| link.is_open())
@@ -190,6 +198,7 @@
                 self.arrived = true;
                 reply.map_or(PauseOutcome::Alive, |reply| PauseOutcome::Ended(fetch_result(reply)))
             }
+            Asked::Silent if self.has_stopped() => PauseOutcome::Silent,
             Asked::Silent => {
                 time::sleep_until(end).await;
                 PauseOutcome::Silent
--- a/acaciaringd/src/peer/search/tests.rs
+++ b/acaciaringd/src/peer/search/tests.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use quinn::Connection;
@@ -145,3 +146,24 @@
     assert_eq!(pair.outcome(running), answered());
     wait_for(|| ends.iter().all(|end| end.close_reason().is_some()));
 }
+
+/// Guards against a search that goes on after the member has stopped, because the first connection
+/// had ended before.
+#[test]
+fn a_stop_that_is_told_on_a_newer_connection_ends_a_search() {
+    let pair = Pair::start();
+    let first = pair.link(0);
+    let running = pair.send();
+    let ends = pair.member_ends();
+    let newer = pair.link(first.id);
+    for end in &ends {
+        end.close(Code::None.into(), b"test");
+    }
+    wait_for(|| !first.is_open());
+    let start = Instant::now();
+    assert_eq!(pair.server.transport.stop_within(Duration::ZERO), 1);
+    wait_for(|| newer.has_stopped());
+    assert_eq!(pair.outcome(running), RequestOutcome::Lost);
+    assert!(start.elapsed() < WAIT_TIMEOUT / 2, "only its deadline ended the search");
+    pair.resume.send(()).unwrap();
+}
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -19,7 +19,7 @@
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
 use crate::peer::inflight::{Kind, Message as Tracked, Stage};
-use crate::peer::link::{Link, Liveness, greet};
+use crate::peer::link::{Link, Liveness, greet, is_stop};
 use crate::peer::pool::HANDSHAKE_FACTOR;
 use crate::peer::run::serve_request;
 use crate::peer::table;
@@ -75,6 +75,9 @@
     tokio::spawn(async move {
         let reason = receive_loop(&shared, &conn, process, &liveness, &weak).await;
         debug!(%peer, %reason, "connection ended");
+        if is_stop(&reason) {
+            shared.stopped_peers.add(Instant::now(), process);
+        }
         shared.registry.close(id);
         shared.pool.forget(peer, id, &reason);
     });
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -31,6 +31,7 @@
 use crate::peer::pool::Pool;
 use crate::peer::serve;
 use crate::peer::settings::PeerSettings;
+use crate::peer::stopped::StoppedProcesses;
 use crate::peer::table::AttemptTable;
 use crate::peer::threads::Threads;
 use crate::peer::tls::{self, Configs};
@@ -85,6 +86,8 @@
     pub inflight: Arc<InflightTracker>,
     /// Attempts of this process at other members.
     pub outgoing: Arc<Outgoing>,
+    /// Processes of other members that have stopped.
+    pub stopped_peers: StoppedProcesses,
     pub metrics: Metrics,
     links: AtomicU64,
     stopped: AtomicBool,
@@ -161,6 +164,7 @@
             registry: Registry::default(),
             inflight: Arc::default(),
             outgoing: Arc::default(),
+            stopped_peers: StoppedProcesses::default(),
             metrics,
             links: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
