Let a stop wait for the senders that still wait for an answer, and only for those

What callers saw: an answer that was written 1 s before its member ended, and not acknowledged by then, was thrown away. A request that may run once got 502.

Cause: once nothing ran and no callers were left, control ended, and the transport waited for at most 1 s more, since nobody renewed the lease from then on. A request whose connection had ended was kept for 0.5 s. Such a message also turned the close code from "settled" to "stopping", by which others had to take their unread requests for possibly run.

Change: control runs on, and renews the lease, until no request of another member is awaited; requests are refused meanwhile, calls are not. A message is awaited until it is acknowledged, fetched, cancelled, its sender's deadline has passed or its process has stopped. An answer whose connection has ended is kept as long as it can be fetched. The close of an unused connection says so, and ends the wait for answers on it.

--- a/acaciaringd/src/control/stop.rs
+++ b/acaciaringd/src/control/stop.rs
@@ -54,18 +54,25 @@
     /// Returns true when the process may exit.
     pub(super) fn finished(&self, now: Time) -> bool {
         let Some(stopping) = self.stopping else { return false };
-        if self.identity.is_none() {
-            return true;
-        }
         let inflight = self.context.shared.inflight.total();
         if now.since(stopping.since) >= self.context.drain_timeout {
             warn!(inflight, "graceful shutdown timed out, exiting");
             return true;
         }
-        if stopping.restarting {
-            return self.is_quiescent(inflight) && stopping.callers_gone;
-        }
-        self.closed && self.all_released()
+        let done = match &self.identity {
+            None => true,
+            Some(_) if stopping.restarting => self.is_quiescent(inflight) && stopping.callers_gone,
+            Some(_) => self.closed && self.all_released(),
+        };
+        done && self.answers_delivered()
+    }
+
+    /// Returns true once no other member waits for the answer of a request that ran here.
+    ///
+    /// The control thread runs on until then, since it renews the lease: a member that is short of
+    /// processor time or loses packets may take seconds to fetch an answer.
+    fn answers_delivered(&self) -> bool {
+        self.context.transport.refuse_requests() == 0
     }
 
     /// Returns true once a restarting process runs no requests on its upstream, and announces it.
--- a/acaciaringd/src/peer/frame.rs
+++ b/acaciaringd/src/peer/frame.rs
@@ -27,6 +27,8 @@
     Stopping = 5,
     /// The process is stopping; all its answers were delivered and unanswered messages did not run.
     Settled = 6,
+    /// The peer uses the connection for no message, sent or being answered.
+    Unused = 7,
 }
 
 impl From<Code> for VarInt {
--- a/acaciaringd/src/peer/inflight.rs
+++ b/acaciaringd/src/peer/inflight.rs
@@ -53,16 +53,37 @@
     /// Attempt that a request or fetch belongs to; zero for a call.
     pub attempt: u64,
     pub from: SocketAddr,
+    /// Random id of the sender's run of its process.
+    pub process: u64,
     pub stage: Stage,
     /// When the message was received.
     pub since: Instant,
     /// When its stage began.
     pub changed: Instant,
+    /// When its sender stops waiting for the answer; `None` if that is not known.
+    pub until: Option<Instant>,
+    /// Set once its sender waits no longer: it has the answer, or has given up.
+    pub released: bool,
 }
 
 impl Message {
     pub fn new(now: Instant, kind: Kind, attempt: u64, from: SocketAddr) -> Self {
-        Self { kind, attempt, from, stage: Stage::Running, since: now, changed: now }
+        Self {
+            kind,
+            attempt,
+            from,
+            process: 0,
+            stage: Stage::Running,
+            since: now,
+            changed: now,
+            until: None,
+            released: false,
+        }
+    }
+
+    /// Returns whether the sender waits for the answer.
+    fn is_awaited(&self, now: Instant) -> bool {
+        !self.released && self.until.is_none_or(|until| now < until)
     }
 }
 
@@ -76,6 +97,8 @@
     /// Number of messages so far, which numbers the next one.
     count: u64,
     closed: bool,
+    /// True while requests are refused, but not calls.
+    requests_closed: bool,
     /// Set once a message ended without being settled.
     uncertain: bool,
 }
@@ -84,7 +107,7 @@
     /// Tracks a message until the guard is dropped; `None` once the tracker is closed.
     pub fn try_track(self: &Arc<Self>, message: Message) -> Option<InflightGuard> {
         let mut inner = self.0.lock();
-        if inner.closed {
+        if inner.closed || (inner.requests_closed && message.kind == Kind::Request) {
             return None;
         }
         Some(self.add(&mut inner, message))
@@ -107,20 +130,43 @@
         self.0.lock().closed = true;
     }
 
-    /// Returns the number of messages in flight.
-    pub fn count(&self) -> usize {
-        self.0.lock().messages.len()
+    /// Refuses further requests.
+    pub fn close_requests(&self) {
+        self.0.lock().requests_closed = true;
     }
 
-    /// Returns the messages in flight.
-    pub fn messages(&self) -> Vec<Message> {
-        self.0.lock().messages.values().cloned().collect()
+    /// Records that the sender of an attempt waits for no answer any more.
+    pub fn release(&self, attempt: u64) {
+        for message in self.0.lock().messages.values_mut() {
+            message.released |= message.kind != Kind::Call && message.attempt == attempt;
+        }
+    }
+
+    /// Records that a process has stopped, and waits for no answers any more.
+    pub fn release_process(&self, process: u64) {
+        for message in self.0.lock().messages.values_mut() {
+            message.released |= message.process == process;
+        }
+    }
+
+    /// Returns the messages in flight whose senders wait for the answer.
+    pub fn awaited(&self, now: Instant) -> Vec<Message> {
+        let inner = self.0.lock();
+        inner.messages.values().filter(|message| message.is_awaited(now)).cloned().collect()
+    }
+
+    /// Returns the number of requests whose senders wait for the answer.
+    pub fn awaited_requests(&self, now: Instant) -> usize {
+        let inner = self.0.lock();
+        let awaited = inner.messages.values().filter(|message| message.is_awaited(now));
+        awaited.filter(|message| message.kind != Kind::Call).count()
     }
 
-    /// Returns whether the tracker is closed and every message was settled.
-    pub fn is_settled(&self) -> bool {
+    /// Returns whether the tracker is closed and no sender waits for the answer of a message.
+    pub fn is_settled(&self, now: Instant) -> bool {
         let inner = self.0.lock();
-        inner.closed && inner.messages.is_empty() && !inner.uncertain
+        let awaited = inner.messages.values().any(|message| message.is_awaited(now));
+        inner.closed && !awaited && !inner.uncertain
     }
 }
 
--- a/acaciaringd/src/peer/link.rs
+++ b/acaciaringd/src/peer/link.rs
@@ -121,8 +121,17 @@
 
 /// Returns whether a connection ended because the peer's process stops.
 pub(super) fn is_stop(reason: &ConnectionError) -> bool {
+    is_closed_with(reason, &[Code::Stopping, Code::Settled])
+}
+
+/// Returns whether a connection ended while the peer waited for nothing on it.
+pub(super) fn was_unused(reason: &ConnectionError) -> bool {
+    is_closed_with(reason, &[Code::Unused])
+}
+
+fn is_closed_with(reason: &ConnectionError, codes: &[Code]) -> bool {
     let ConnectionError::ApplicationClosed(close) = reason else { return false };
-    [Code::Stopping, Code::Settled].map(VarInt::from).contains(&close.error_code)
+    codes.iter().any(|&code| close.error_code == VarInt::from(code))
 }
 
 /// Opens a stream on a connection and returns its two halves.
@@ -135,7 +144,7 @@
     /// Closes a connection that this process opened, once nothing uses it.
     fn drop(&mut self) {
         if self.endpoint.is_some() {
-            self.conn.close(Code::None.into(), &[]);
+            self.conn.close(Code::Unused.into(), &[]);
         }
     }
 }
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 use tracing::{debug, error, warn};
 
+use acaciaring_core::attempt::AttemptSettings;
 use acaciaring_schema::peer::{
     Answer, Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, Request,
     call, reply,
@@ -18,8 +19,8 @@
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
-use crate::peer::inflight::{Kind, Message as Tracked, Stage};
-use crate::peer::link::{Link, Liveness, greet, is_stop};
+use crate::peer::inflight::{InflightGuard, Kind, Message as Tracked, Stage};
+use crate::peer::link::{Link, Liveness, greet, is_stop, was_unused};
 use crate::peer::pool::HANDSHAKE_FACTOR;
 use crate::peer::run::serve_request;
 use crate::peer::table;
@@ -77,6 +78,7 @@
         debug!(%peer, %reason, "connection ended");
         if is_stop(&reason) {
             shared.stopped_peers.add(Instant::now(), process);
+            shared.inflight.release_process(process);
         }
         shared.registry.close(id);
         shared.pool.forget(peer, id, &reason);
@@ -134,7 +136,7 @@
     mut send: SendStream,
     recv: RecvStream,
 ) {
-    let StreamOrigin { address: from, process, conn, link: _link } = origin;
+    let StreamOrigin { address: from, process, conn, link } = origin;
     let mut reader = FrameReader::new(recv, shared.settings.message_limit);
     let call = reader.next::<Call>().await;
     let body = call.and_then(|call| call.body.ok_or(FrameError::Unknown));
@@ -150,24 +152,24 @@
             return reset(&mut send, error.code());
         }
     };
-    let Some(body) = serve_attempt_query(&shared, from, body, &mut send).await else { return };
-    let (kind, attempt) = match &body {
-        call::Body::Request(request) => (Kind::Request, request.attempt),
-        _ => (Kind::Call, 0),
+    let Some(body) = serve_attempt_query(&shared, (from, process), body, &mut send).await else {
+        return;
     };
-    let message = Tracked::new(Instant::now(), kind, attempt, from);
-    let Some(guard) = shared.inflight.try_track(message) else {
+    let Some(guard) = shared.inflight.try_track(tracked(Instant::now(), &body, from, process))
+    else {
         return reset(&mut send, Code::Busy);
     };
     let answered = match body {
         call::Body::Request(mut request) => {
+            let until = Instant::now() + Duration::from_millis(request.left.into());
             let delay = shared.lags.delay(process, request.clock);
             deduct_delay(&mut request, delay);
-            let delayed_conn = (delay >= DELAY_LIMIT).then_some(conn);
-            if !serve_request(&shared, request, &mut send, delayed_conn, &guard).await {
-                guard.set_stage(Instant::now(), Stage::Kept);
-                // Keeps the message in flight while its sender fetches the answer elsewhere.
-                time::sleep(shared.settings.connect).await;
+            let delayed_conn = (delay >= DELAY_LIMIT).then(|| conn.clone());
+            let delivered = serve_request(&shared, request, &mut send, delayed_conn, &guard).await;
+            let abandoned = || conn.close_reason().is_some_and(|reason| was_unused(&reason));
+            if !delivered && !abandoned() {
+                drop(link);
+                keep(until, &guard).await;
             }
             true
         }
@@ -178,13 +180,37 @@
     }
 }
 
+/// Returns what is tracked of a request or call.
+fn tracked(now: Instant, body: &call::Body, from: SocketAddr, process: u64) -> Tracked {
+    let call::Body::Request(request) = body else {
+        return Tracked { process, ..Tracked::new(now, Kind::Call, 0, from) };
+    };
+    let until = Some(now + Duration::from_millis(request.left.into()));
+    Tracked { process, until, ..Tracked::new(now, Kind::Request, request.attempt, from) }
+}
+
+fn tracked_fetch(now: Instant, fetch: &Fetch, from: SocketAddr, process: u64) -> Tracked {
+    let until = Some(now + Duration::from_millis(fetch.left.into()));
+    Tracked { process, until, ..Tracked::new(now, Kind::Fetch, fetch.attempt, from) }
+}
+
+/// Keeps a request in flight whose connection has ended before its answer was acknowledged.
+///
+/// Its sender fetches the answer over another connection. Guards against a stop that ends before a
+/// sender short of processor time has asked.
+async fn keep(until: Instant, guard: &InflightGuard) {
+    guard.set_stage(Instant::now(), Stage::Kept);
+    let kept = Instant::now() + AttemptSettings::default().answer_retention;
+    time::sleep_until(until.min(kept).into()).await;
+}
+
 /// Answers a probe, fetch or cancellation of an attempt; returns any other message.
 ///
 /// These are answered during a stop too, since the answer of an attempt whose connection has failed
 /// is fetched on another one.
 async fn serve_attempt_query(
     shared: &Shared,
-    from: SocketAddr,
+    (from, process): (SocketAddr, u64),
     body: call::Body,
     send: &mut SendStream,
 ) -> Option<call::Body> {
@@ -195,16 +221,21 @@
         call::Body::Fetch(fetch) => {
             // Counted as in flight: if the first connection has failed, only this one delivers the
             // answer.
-            let message = Tracked::new(Instant::now(), Kind::Fetch, fetch.attempt, from);
-            let guard = shared.inflight.track(message);
+            let attempt = fetch.attempt;
+            let guard = shared.inflight.track(tracked_fetch(Instant::now(), &fetch, from, process));
             let answer = serve_fetch(shared, fetch).await;
             guard.set_stage(Instant::now(), Stage::Answering);
-            write_last(shared, send, reply::Body::Fetch(FetchReply { answer })).await;
+            let answered = answer.is_some();
+            let reply = reply::Body::Fetch(FetchReply { answer });
+            if write_acknowledged(shared, send, reply).await && answered {
+                shared.inflight.release(attempt);
+            }
             guard.settle();
             return None;
         }
         call::Body::Cancel(Cancel { attempt }) => {
             shared.table.cancel(attempt);
+            shared.inflight.release(attempt);
             reply::Body::Done(Done { accepted: true })
         }
         other => return Some(other),
@@ -258,15 +289,23 @@
 
 /// Writes the only message of a stream; returns false if it exceeds the message limit.
 pub(super) async fn write_last(shared: &Shared, send: &mut SendStream, body: reply::Body) -> bool {
+    write_reply(shared, send, body).await.is_some()
+}
+
+/// Writes the only message of a stream; returns whether the peer has acknowledged it.
+async fn write_acknowledged(shared: &Shared, send: &mut SendStream, body: reply::Body) -> bool {
+    write_reply(shared, send, body).await == Some(true)
+}
+
+/// Writes the only message of a stream; returns whether the peer has acknowledged it, `None` if it
+/// exceeds the message limit.
+async fn write_reply(shared: &Shared, send: &mut SendStream, body: reply::Body) -> Option<bool> {
     match encode(shared, body) {
-        Ok(frame) => {
-            write_frame(send, frame).await;
-            true
-        }
+        Ok(frame) => Some(write_frame(send, frame).await),
         Err(size) => {
             error!(size, "reply exceeds the message limit; resetting its stream");
             reset(send, Code::None);
-            false
+            None
         }
     }
 }
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -255,8 +255,8 @@
     let tracker = Arc::new(InflightTracker::default());
     drop(tracker.try_track(message()).unwrap());
     tracker.close();
-    assert_eq!(tracker.count(), 0);
-    assert!(!tracker.is_settled());
+    assert!(tracker.awaited(Instant::now()).is_empty());
+    assert!(!tracker.is_settled(Instant::now()));
 }
 
 /// Guards against a stop that counts refused messages as having an unknown effect.
@@ -266,7 +266,7 @@
     let guard = tracker.try_track(message()).unwrap();
     tracker.close();
     assert!(tracker.try_track(message()).is_none());
-    assert!(!tracker.is_settled());
+    assert!(!tracker.is_settled(Instant::now()));
     guard.settle();
-    assert!(tracker.is_settled());
+    assert!(tracker.is_settled(Instant::now()));
 }
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -322,24 +322,35 @@
     /// Like [`Transport::stop`], with a given time for answers in flight; returns how many remain.
     ///
     /// New messages are refused. An answer is in flight until its peer has acknowledged it, because
-    /// closing a connection drops the data in its buffers.
+    /// closing a connection drops the data in its buffers, or no longer waits for it.
     #[must_use]
     pub fn stop_within(&self, bound: Duration) -> usize {
         let shared = &self.inner.shared;
         shared.inflight.close();
         let start = Instant::now();
-        while shared.inflight.count() > 0 && start.elapsed() < bound {
+        while !shared.inflight.awaited(Instant::now()).is_empty() && start.elapsed() < bound {
             thread::sleep(POLL_INTERVAL);
         }
-        let remaining = shared.inflight.messages();
+        let now = Instant::now();
+        let remaining = shared.inflight.awaited(now);
         for message in &remaining {
-            log_unsettled(Instant::now(), message);
+            log_unsettled(now, message);
         }
         // The close code tells senders whether unanswered messages were refused or may have run.
-        self.close(if shared.inflight.is_settled() { Code::Settled } else { Code::Stopping });
+        self.close(if shared.inflight.is_settled(now) { Code::Settled } else { Code::Stopping });
         remaining.len()
     }
 
+    /// Refuses further requests and returns how many earlier ones have not delivered their answers.
+    ///
+    /// Calls are still taken.
+    #[must_use]
+    pub fn refuse_requests(&self) -> usize {
+        let inflight = &self.inner.shared.inflight;
+        inflight.close_requests();
+        inflight.awaited_requests(Instant::now())
+    }
+
     /// Returns the requests to other members whose outcome is not known yet.
     #[must_use]
     pub fn pending(&self) -> Vec<PendingAttempt> {
@@ -368,7 +379,7 @@
 
 /// Logs a message that a stop cuts off.
 fn log_unsettled(now: Instant, message: &Unsettled) {
-    let Unsettled { kind, attempt, from, stage, since, changed } = message;
+    let Unsettled { kind, attempt, from, stage, since, changed, .. } = message;
     warn!(
         kind = kind.as_str(),
         attempt,
--- a/acaciaringd/tests/peer_stop.rs
+++ b/acaciaringd/tests/peer_stop.rs
@@ -20,6 +20,9 @@
 /// probed.
 const ACK_DURATION: Duration = Duration::from_millis(100);
 
+/// Time for which packets are lost, longer than a stopped process waits once its lease ends.
+const LOSS_DURATION: Duration = Duration::from_millis(1500);
+
 /// Member whose requests report their start and wait until the test resumes them.
 struct PausedServer {
     node: Node,
@@ -105,6 +108,47 @@
     });
 }
 
+/// Guards against a stop that ends while the sender of a request has not received its answer.
+#[test]
+fn a_stop_can_wait_for_a_sender_that_has_lost_the_answer() {
+    let authority = Authority::new();
+    let server = PausedServer::start(&authority);
+    let client = Node::echo(authority.settings());
+    let forwarder = Forwarder::start(server.node.transport.local_addr());
+    let send = || client.transport.blocking_request(forwarder.address, request("a"), WAIT_TIMEOUT);
+    thread::scope(|scope| {
+        let waiting = scope.spawn(send);
+        server.wait_for_start();
+        forwarder.set_cut(true);
+        server.resume.send(()).unwrap();
+        let start = Instant::now();
+        while start.elapsed() < LOSS_DURATION {
+            assert_eq!(server.node.transport.refuse_requests(), 1, "{:?}", start.elapsed());
+            thread::sleep(ACK_DURATION / 2);
+        }
+        forwarder.set_cut(false);
+        wait_for(|| server.node.transport.refuse_requests() == 0);
+        server.node.transport.stop();
+        assert_eq!(waiting.join().unwrap(), RequestOutcome::Answer(echo(request("a"))));
+    });
+}
+
+/// Guards against a stop that waits for the deadline of a request whose sender has given it up.
+#[test]
+fn a_stop_does_not_wait_for_a_sender_that_has_left() {
+    let authority = Authority::new();
+    let server = PausedServer::start(&authority);
+    let client = Node::echo(authority.settings());
+    let to = server.node.transport.local_addr();
+    let running = client.transport.start_request(to, request("a"), WAIT_TIMEOUT);
+    let task = client.transport.runtime().spawn(running.outcome());
+    server.wait_for_start();
+    assert_eq!(server.node.transport.refuse_requests(), 1);
+    task.abort();
+    wait_for(|| server.node.transport.refuse_requests() == 0);
+    server.resume.send(()).unwrap();
+}
+
 /// Guards against a caller that waits until its deadline because the stop is not announced on
 /// connections that the stopping member opened.
 #[test]
