Settle no message at a stop that is only no longer awaited

The condition is again that every message was settled; what a stop waits for stays as it is. peer::tests::a_stop_settles_no_message_that_is_only_no_longer_awaited failed with the former condition.

--- a/acaciaringd/src/peer/inflight.rs
+++ b/acaciaringd/src/peer/inflight.rs
@@ -162,11 +162,13 @@
         awaited.filter(|message| message.kind != Kind::Call).count()
     }
 
-    /// Returns whether the tracker is closed and no sender waits for the answer of a message.
-    pub fn is_settled(&self, now: Instant) -> bool {
+    /// Returns whether the tracker is closed and every message was settled.
+    ///
+    /// A message that is no longer awaited is not settled: its sender may be late and read the close
+    /// first.
+    pub fn is_settled(&self) -> bool {
         let inner = self.0.lock();
-        let awaited = inner.messages.values().any(|message| message.is_awaited(now));
-        inner.closed && !awaited && !inner.uncertain
+        inner.closed && inner.messages.is_empty() && !inner.uncertain
     }
 }
 
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -256,7 +256,7 @@
     drop(tracker.try_track(message()).unwrap());
     tracker.close();
     assert!(tracker.awaited(Instant::now()).is_empty());
-    assert!(!tracker.is_settled(Instant::now()));
+    assert!(!tracker.is_settled());
 }
 
 /// Guards against a stop that counts refused messages as having an unknown effect.
@@ -266,7 +266,28 @@
     let guard = tracker.try_track(message()).unwrap();
     tracker.close();
     assert!(tracker.try_track(message()).is_none());
-    assert!(!tracker.is_settled(Instant::now()));
+    assert!(!tracker.is_settled());
     guard.settle();
-    assert!(tracker.is_settled(Instant::now()));
+    assert!(tracker.is_settled());
+}
+
+/// Guards against "not run" at a late sender for a request that ran: it may read the close before it
+/// notices its deadline, or before an answer that it fetched over another connection.
+#[test]
+fn a_stop_settles_no_message_that_is_only_no_longer_awaited() {
+    let now = Instant::now();
+    let request = Message { attempt: 1, kind: Kind::Request, ..message() };
+    let expired = Message { until: Some(now), ..request.clone() };
+    for (message, fetched) in [(request, true), (expired, false)] {
+        let tracker = Arc::new(InflightTracker::default());
+        let guard = tracker.try_track(message).unwrap();
+        if fetched {
+            tracker.release(1);
+        }
+        tracker.close();
+        assert!(tracker.awaited(now).is_empty());
+        assert!(!tracker.is_settled(), "fetched: {fetched}");
+        guard.settle();
+        assert!(tracker.is_settled());
+    }
 }
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -337,7 +337,7 @@
             log_unsettled(now, message);
         }
         // The close code tells senders whether unanswered messages were refused or may have run.
-        self.close(if shared.inflight.is_settled(now) { Code::Settled } else { Code::Stopping });
+        self.close(if shared.inflight.is_settled() { Code::Settled } else { Code::Stopping });
         remaining.len()
     }
 
