--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -41,6 +41,9 @@
 /// Time for closing all connections when this process stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Limit on log lines about messages that a stop cuts off; the number of all is logged as `due`.
+const MAX_UNSETTLED_LINES: usize = 50;
+
 /// Interval at which a stop checks for messages in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -333,7 +336,7 @@
         }
         let now = Instant::now();
         let remaining = shared.inflight.awaited(now);
-        for message in &remaining {
+        for message in remaining.iter().take(MAX_UNSETTLED_LINES) {
             log_unsettled(now, message);
         }
         // The close code tells senders whether unanswered messages were refused or may have run.
