Read what has arrived before a peer counts as silent

What callers saw: nothing wrong; a process that stands still for a moment opened a further connection to a member whose reply lay in its socket.

Cause: after a timeout, a reply is waited for again if the timer fired late by a quarter of the timeout or more. A pause that ends sooner after the timeout shows no such lateness, and the task of the request runs before those that read the socket.

Change: once the timers are used up, what is in the socket is read for 5 ms.

--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -8,12 +8,15 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use crossbeam_channel::bounded;
 use quinn::{ReadError, VarInt};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 
 use acaciaring_schema::peer::{Call, Reply, Request, StatusQuery, call, reply};
 
 use crate::peer;
 use crate::peer::frame::{self, Code, FrameError};
 use crate::peer::inflight::{InflightTracker, Kind, Message};
+use crate::peer::timeouts;
 use crate::peer::transport::Shared;
 use crate::peer::{PeerSettings, RequestOutcome, Transport};
 
@@ -291,3 +294,27 @@
         assert!(tracker.is_settled());
     }
 }
+
+/// Guards against a peer that counts as silent although its reply is in the socket, after a pause of
+/// this process that ends too soon after the timeout for its timer to count as late.
+#[test]
+fn a_reply_that_arrived_in_a_pause_is_read_after_the_timeout() {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let reply = runtime.block_on(async {
+        let peer = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let to = socket.local_addr().unwrap();
+        // As in QUIC, a packet passes through the tasks of the socket and of the connection.
+        let (packet, packets) = oneshot::channel();
+        let (reply, replies) = oneshot::channel();
+        tokio::spawn(async move { packet.send(socket.recv(&mut [0; 8]).await.unwrap()) });
+        tokio::spawn(async move { reply.send(packets.await.unwrap()) });
+        tokio::spawn(async move {
+            peer.send_to(b"reply", to).unwrap();
+            thread::sleep(TIMEOUT + TIMEOUT / 20);
+        });
+        timeouts::reply_within(TIMEOUT, replies).await
+    });
+    assert_eq!(reply, Some(Ok(b"reply".len())));
+}
--- a/acaciaringd/src/peer/timeouts.rs
+++ b/acaciaringd/src/peer/timeouts.rs
@@ -21,6 +21,9 @@
 /// Largest number of timeouts for one reply.
 const MAX_WAITS: usize = 3;
 
+/// Time in which packets that are already in the socket are read after a timeout.
+const READ_TIME: Duration = Duration::from_millis(5);
+
 /// Returns the time within which a peer should respond on a connection.
 ///
 /// Guards against a member that is distant or short of processor time: with a fixed timeout it
@@ -32,7 +35,8 @@
 /// Waits for a reply for the duration of a timeout, and again if the timer fired late.
 ///
 /// Guards against a process that was paused: its timers have expired while replies are unread in
-/// its socket.
+/// its socket. A pause that ends soon after the timeout shows no late timer, so what has arrived by
+/// then is read in any case.
 pub(super) async fn reply_within<T>(
     timeout: Duration,
     reply: impl Future<Output = T>,
@@ -47,7 +51,7 @@
             break;
         }
     }
-    None
+    time::timeout(READ_TIME, reply).await.ok()
 }
 
 /// Waits for a timeout, and longer if this process was paused, so that packets are read meanwhile.
