Check that a message in flight is awaited before it is dropped

Since messages in flight have a description, so the tests of the tracker pass one to `try_track`; `a_stop_that_refuses_messages_settles_earlier_ones` checks what it did. Since the tracker counts only messages that are awaited, so `count() == 0` in `a_stop_after_a_panic_is_not_settled` became "none is awaited", which would hold for one that nobody awaits from the start. The test now shows first that its message is awaited, and is as strict as it was.

--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -256,7 +256,9 @@
 #[test]
 fn a_stop_after_a_panic_is_not_settled() {
     let tracker = Arc::new(InflightTracker::default());
-    drop(tracker.try_track(message()).unwrap());
+    let guard = tracker.try_track(message()).unwrap();
+    assert_eq!(tracker.awaited(Instant::now()).len(), 1);
+    drop(guard);
     tracker.close();
     assert!(tracker.awaited(Instant::now()).is_empty());
     assert!(!tracker.is_settled());
