Take the upstreams of evacuated data centres out

Members read evacuations where they read the configuration and fetch them from each other by version, so that one which the store turns away learns of them. The upstreams of the data centre leave as a draining one does: units move with consent and handovers, the gate closes a second after the word. Members there stay entries. Entries leave them out for pooled work. A process attaches nothing before it knows the evacuations, and passes over the first heartbeat after one is taken back, which may have been sent before its server turned cold.

--- a/acaciaringd/examples/hop.rs
+++ b/acaciaringd/examples/hop.rs
@@ -132,6 +132,7 @@
         applied: 123_500,
         declared: 0,
         age: 0,
+        evacuation: 0,
     };
     Datagram { body: Some(datagram::Body::Renew(renew)) }
 }
--- a/acaciaringd/src/control/catch_up.rs
+++ b/acaciaringd/src/control/catch_up.rs
@@ -1,4 +1,4 @@
-//! Catch-up from members that are ahead of this one: log records and declared configuration.
+//! Catch-up from members that are ahead of this one: log records and declarations.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,12 +9,13 @@
 use tracing::debug;
 
 use super::{Control, Event};
+use crate::declared::KnownVersions;
 use crate::wire;
 
 /// Time granted to the log service to deliver records, in addition to the read interval.
 const LOG_GRACE: Duration = Duration::from_millis(300);
 
-/// Least time between two requests for the declared configuration.
+/// Least time between two requests for the declarations.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum number of records per request.
@@ -62,22 +63,22 @@
         self.context.outbox.call(from, records, wire::CALL_TIMEOUT, Box::new(done));
     }
 
-    /// Requests the declared configuration from a member that has a newer version.
+    /// Requests the declarations from a member that knows newer ones.
     ///
-    /// Guards against a stale configuration when this member cannot read its source and others can.
-    pub(super) fn fetch_declaration(&mut self, now: Time, from: SocketAddr, version: u64) {
+    /// Guards against a stale configuration, or an evacuation that is not noticed, when this member
+    /// cannot read the source and others can.
+    pub(super) fn fetch_declaration(&mut self, now: Time, from: SocketAddr, known: KnownVersions) {
         let declarations = &self.context.declarations;
-        if version <= declarations.version() || now.since(self.config_queried) < QUERY_INTERVAL {
+        let newer = known.exceeds(declarations.known());
+        if !newer || now.since(self.config_queried) < QUERY_INTERVAL {
             return;
         }
         self.config_queried = now;
-        debug!(%from, version, "another member has a newer configuration, requesting it");
+        debug!(%from, ?known, "another member has newer declarations, requesting them");
         let declarations = Arc::clone(declarations);
         let done = move |reply: Option<reply::Body>| {
             let Some(reply::Body::Declaration(declaration)) = reply else { return };
-            if declaration.version > 0 {
-                declarations.offer(&declaration.content, "member");
-            }
+            declarations.receive(&declaration);
         };
         let query = call::Body::Declaration(DeclarationQuery {});
         self.context.outbox.call(from, query, wire::CALL_TIMEOUT, Box::new(done));
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::orders::Answer;
 use acaciaring_core::state::{Outcome, RecordId};
 use acaciaring_core::{Name, Offset, Time, UnitId};
@@ -13,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::announce::Announcement;
-use crate::declared::Declared;
+use crate::declared::{Declared, KnownVersions};
 use crate::heartbeat::{Heartbeat, HeartbeatReply};
 use crate::reader::Origin;
 
@@ -47,8 +48,10 @@
     OrderAnswered(u64, Answer),
     /// The upstream instance is leaving and stops its reports; acknowledged once it gets no grants.
     UpstreamLeaves(Name, oneshot::Sender<()>),
-    /// A member has this version of the declared configuration.
-    DeclaredVersion(SocketAddr, u64),
+    /// A member has these versions of the declarations.
+    DeclaredVersion(SocketAddr, KnownVersions),
+    /// The known evacuations of data centres have changed.
+    Evacuations(Evacuations),
     /// A newer declared configuration is in force.
     Declared(Arc<Declared>),
     /// A stop of the process was requested at this time.
--- a/acaciaringd/src/control/feed.rs
+++ b/acaciaringd/src/control/feed.rs
@@ -11,6 +11,7 @@
 use tracing::{debug, warn};
 
 use super::Control;
+use crate::declared::KnownVersions;
 use crate::reader::Origin;
 use crate::view::peer_address;
 use crate::wire;
@@ -41,7 +42,7 @@
         self.context.read_scheduler.set_mode(mode);
     }
 
-    /// Passes on records that end at the position of this member, and its configuration's version.
+    /// Passes on records that end at the position of this member, and the versions of its declarations.
     pub(super) fn pass_on(&self, now: Time, entries: Vec<Vec<u8>>) {
         let Some(identity) = &self.identity else { return };
         if self.fanout.children.is_empty() || !identity.holder.holds(now) {
@@ -49,11 +50,13 @@
         }
         let next = self.replica.position();
         let start = next.saturating_sub(entries.len() as u64);
+        let known = self.context.declarations.known();
         let feed = Feed {
             member: identity.me.0,
             records: Some(Batch { oldest: start, next, start, entries }),
-            declared: self.context.declarations.version(),
+            declared: known.config,
             age: self.log_age(now),
+            evacuation: known.evacuation,
         };
         for child in &self.fanout.children {
             let Some(to) = self.state.member(*child).and_then(peer_address) else { continue };
@@ -69,7 +72,8 @@
             debug!(%member, "an unknown member passes records on, ignoring them");
             return;
         };
-        self.fetch_declaration(now, from, feed.declared);
+        let known = KnownVersions { config: feed.declared, evacuation: feed.evacuation };
+        self.fetch_declaration(now, from, known);
         let position = self.replica.position();
         let Some(batch) = feed.records.filter(|_| self.progress.caught_up) else { return };
         if batch.next < position {
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -13,6 +13,7 @@
 use super::Control;
 use super::identity::EndReason;
 use super::vote_recipients::vote_recipients;
+use crate::declared::KnownVersions;
 use crate::metrics::Counter;
 use crate::view::peer_address;
 use crate::wire;
@@ -53,14 +54,16 @@
 
     fn send_renewal(&self, now: Time, me: MemberId, renewal: Renewal) {
         let Some(to) = self.state.member(renewal.lessor).and_then(peer_address) else { return };
+        let known = self.context.declarations.known();
         let renew = Renew {
             holder: me.0,
             lessor: renewal.lessor.0,
             seq: renewal.seq,
             version: renewal.version,
             applied: self.state.next(),
-            declared: self.context.declarations.version(),
+            declared: known.config,
             age: self.log_age(now),
+            evacuation: known.evacuation,
         };
         let datagram = Datagram { body: Some(datagram::Body::Renew(renew)) };
         self.context.transport.send(to, &datagram, renewal.reconnect);
@@ -94,7 +97,8 @@
             Some(datagram::Body::Renew(renew)) => self.on_renew(now, from, &renew),
             Some(datagram::Body::Grant(grant)) => {
                 self.catch_up(now, from, grant.applied);
-                self.fetch_declaration(now, from, grant.declared);
+                let known = KnownVersions { config: grant.declared, evacuation: grant.evacuation };
+                self.fetch_declaration(now, from, known);
                 self.observe_age(now, grant.applied, grant.age);
                 self.on_grant(now, &grant);
             }
@@ -105,7 +109,8 @@
 
     fn on_renew(&mut self, now: Time, from: SocketAddr, renew: &Renew) {
         self.catch_up(now, from, renew.applied);
-        self.fetch_declaration(now, from, renew.declared);
+        let known = KnownVersions { config: renew.declared, evacuation: renew.evacuation };
+        self.fetch_declaration(now, from, known);
         self.observe_age(now, renew.applied, renew.age);
         self.require_record(renew.version);
         let age = self.log_age(now);
@@ -121,6 +126,7 @@
         if known.is_some_and(|member| !member.lessors.contains(&identity.me)) {
             identity.lessor.leave_set(holder, renew.version);
         }
+        let known = self.context.declarations.known();
         let grant = Grant {
             lessor: identity.me.0,
             holder: renew.holder,
@@ -128,8 +134,9 @@
             version: answer.version,
             granted: answer.granted,
             applied: self.state.next(),
-            declared: self.context.declarations.version(),
+            declared: known.config,
             age,
+            evacuation: known.evacuation,
         };
         let datagram = Datagram { body: Some(datagram::Body::Grant(grant)) };
         self.context.transport.send(from, &datagram, false);
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 mod balance;
 mod catch_up;
+mod evacuation;
 mod event;
 mod eviction;
 mod feed;
@@ -31,6 +32,7 @@
 use std::time::Duration;
 
 use acaciaring_core::balance::BalanceSettings;
+use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::fanout::{Fanout, Freshness, ReadMode};
 use acaciaring_core::lease::LeaseSettings;
 use acaciaring_core::route::Routes;
@@ -155,7 +157,9 @@
     upstream: UpstreamState,
     /// Declared configuration in force.
     declared: Option<Arc<Declared>>,
-    /// When another member was last asked for the declared configuration.
+    /// Known evacuations of data centres.
+    evacuations: Evacuations,
+    /// When another member was last asked for the declarations.
     config_queried: Time,
     roles: Roles,
     replication: Replication,
@@ -206,6 +210,7 @@
             endpoint: None,
             upstream,
             declared: None,
+            evacuations: Evacuations::default(),
             config_queried: Time::ZERO,
             roles: Roles::default(),
             replication: Replication::default(),
@@ -286,7 +291,8 @@
                 let _ = reply.send(());
             }
             Event::OrderAnswered(number, answer) => self.on_order_answered(now, number, &answer),
-            Event::DeclaredVersion(from, version) => self.fetch_declaration(now, from, version),
+            Event::DeclaredVersion(from, known) => self.fetch_declaration(now, from, known),
+            Event::Evacuations(evacuations) => self.on_evacuations(now, evacuations),
             Event::Declared(declared) => {
                 self.declared = Some(declared);
                 self.dirty = true;
@@ -389,6 +395,7 @@
             synced: Arc::new(self.replication.synced.clone()),
             expired: Arc::new(self.expired(now)),
             endpoint: self.endpoint.clone(),
+            evacuations: self.evacuations.clone(),
             closed: self.closed
                 || self.leaving()
                 || self.upstream.closed(now)
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -51,6 +51,9 @@
             self.detach(now);
             return;
         }
+        if self.upstream.ignores_announcement() {
+            return;
+        }
         let endpoint = UpstreamEndpoint {
             workspace: Arc::from(announcement.workspace.as_str()),
             address: announcement.address,
@@ -87,7 +90,7 @@
         let Some(announced) = &self.announced else { return };
         let announcement = &announced.announcement;
         let Some(identity) = &self.identity else { return };
-        if !identity.holder.holds(now) {
+        if !identity.holder.holds(now) || !self.knows_evacuations() {
             return;
         }
         match self.attachment() {
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -45,6 +45,7 @@
     pub(super) has_reported: bool,
     /// Since when the upstream is leaving.
     leaving: Option<Time>,
+    evacuation: Option<Evacuation>,
     /// Heartbeat whose reply waits for a move.
     delayed: Option<DelayedReply>,
     /// Next timed change, as of the last check.
@@ -53,6 +54,18 @@
     answered: Option<Time>,
 }
 
+/// Evacuation of the upstream's data centre.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evacuation {
+    /// In force since this time.
+    Since(Time),
+    /// Taken back; the next heartbeat may have been sent before that.
+    ///
+    /// Guards against an upstream that has turned cold during the evacuation, and whose last
+    /// heartbeat under way says that it is warm.
+    Ended,
+}
+
 /// Heartbeat whose reply is delayed until it reflects a pending move.
 ///
 /// A moving unit has no server from the reply that leaves it out until the reply that grants it to
@@ -71,6 +84,7 @@
             mode: GrantMode::new(now, grants, hold),
             has_reported: false,
             leaving: None,
+            evacuation: None,
             delayed: None,
             expected_change: None,
             answered: None,
@@ -92,9 +106,35 @@
         due
     }
 
+    /// Begins the evacuation of the upstream's data centre.
+    pub(super) fn evacuate(&mut self, now: Time) {
+        self.evacuation = Some(Evacuation::Since(now));
+    }
+
+    /// Ends the evacuation of the upstream's data centre.
+    pub(super) fn end_evacuation(&mut self) {
+        self.evacuation = Some(Evacuation::Ended);
+    }
+
+    /// Returns true if an announcement that arrives now must not attach the upstream.
+    pub(super) fn ignores_announcement(&mut self) -> bool {
+        let ignores = self.evacuation.is_some();
+        self.evacuation.take_if(|evacuation| *evacuation == Evacuation::Ended);
+        ignores
+    }
+
+    /// Returns since when the upstream is to get no more requests after a grace.
+    fn leaving_since(&self) -> Option<Time> {
+        let evacuated = self.evacuation.and_then(|evacuation| match evacuation {
+            Evacuation::Since(since) => Some(since),
+            Evacuation::Ended => None,
+        });
+        [self.leaving, evacuated].into_iter().flatten().min()
+    }
+
     /// Returns true once a leaving upstream must get no more requests.
     pub(super) fn closed(&self, now: Time) -> bool {
-        self.leaving.is_some_and(|since| now >= since + LEAVING_GRACE)
+        self.leaving_since().is_some_and(|since| now >= since + LEAVING_GRACE)
     }
 
     /// Returns the time of the next timed change.
@@ -110,7 +150,7 @@
 
     /// Returns when a leaving upstream must get no more requests, if that time has not passed.
     fn closes_at(&self, now: Time) -> Option<Time> {
-        self.leaving.map(|since| since + LEAVING_GRACE).filter(|close| now < *close)
+        self.leaving_since().map(|since| since + LEAVING_GRACE).filter(|close| now < *close)
     }
 
     /// Returns true if a timed change has happened since the last check.
--- a/acaciaringd/src/declared.rs
+++ b/acaciaringd/src/declared.rs
@@ -1,7 +1,7 @@
-//! Configuration that is declared outside of the log.
+//! Configuration and evacuations of data centres, which are declared outside of the log.
 //!
-//! Each member reads it from its source. It also fetches newer versions from other members, so that
-//! it stays up to date when it cannot read the source.
+//! Each member reads them from their source. It also fetches newer versions from other members, so
+//! that it stays up to date when it cannot read the source.
 
 use std::collections::HashMap;
 use std::error::Error;
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::Name;
+use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::route::Routes;
+use acaciaring_core::{Name, Offset};
 use acaciaring_schema::peer::Declaration;
 use arc_swap::ArcSwapOption;
 use crossbeam_channel::Sender;
@@ -81,13 +82,36 @@
     newest: ArcSwapOption<Newest>,
     /// Held while the version of a declaration is compared and the declaration installed.
     install_lock: Mutex<()>,
+    evacuations: Mutex<Evacuations>,
     events: Sender<Event>,
 }
 
+/// Versions of what a member knows of the declarations; 0 for what it does not know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct KnownVersions {
+    /// Version of the configuration.
+    pub(crate) config: u64,
+    /// Offset up to which it knows the evacuations.
+    pub(crate) evacuation: Offset,
+}
+
+impl KnownVersions {
+    /// Returns true if either is newer than in `other`.
+    pub(crate) const fn exceeds(self, other: Self) -> bool {
+        self.config > other.config || self.evacuation > other.evacuation
+    }
+}
+
 impl Declarations {
     /// Creates an empty store; without a decoder, all declarations are ignored.
     pub(crate) fn new(decoder: Option<Box<dyn Decoder>>, events: Sender<Event>) -> Self {
-        Self { decoder, newest: ArcSwapOption::empty(), install_lock: Mutex::new(()), events }
+        Self {
+            decoder,
+            newest: ArcSwapOption::empty(),
+            install_lock: Mutex::new(()),
+            evacuations: Mutex::default(),
+            events,
+        }
     }
 
     /// Installs a declaration, unless its content is not valid or its version not newer.
@@ -115,14 +139,57 @@
         let _ = self.events.send(Event::Declared(declared));
     }
 
+    /// Applies the record at `offset` of the source, by which the evacuation of a data centre begins
+    /// or ends.
+    pub fn evacuate(&self, offset: Offset, centre: &Name, evacuated: bool) {
+        let mut evacuations = self.evacuations.lock();
+        if evacuations.apply(offset, centre, evacuated) {
+            info!(%centre, evacuated, offset, "evacuation of a data centre is declared");
+            self.report_evacuations(&evacuations);
+        }
+    }
+
+    /// Handles the record at `offset` of the source that concerns no evacuation.
+    ///
+    /// So members that have read as far as each other know the evacuations under one version, and
+    /// fetch nothing from each other.
+    pub fn cover(&self, offset: Offset) {
+        self.evacuations.lock().cover(offset);
+    }
+
+    /// Installs the evacuations in force, unless newer ones are known.
+    pub fn offer_evacuations(&self, offered: Evacuations, source: &str) {
+        let mut evacuations = self.evacuations.lock();
+        let former: Vec<Name> = evacuations.centres().cloned().collect();
+        if !evacuations.replace(offered) {
+            return;
+        }
+        if !evacuations.centres().eq(&former) {
+            let centres: Vec<&Name> = evacuations.centres().collect();
+            info!(?centres, source, "evacuated data centres have changed");
+        }
+        self.report_evacuations(&evacuations);
+    }
+
+    fn report_evacuations(&self, evacuations: &Evacuations) {
+        // The control thread ends only when the process exits.
+        let _ = self.events.send(Event::Evacuations(evacuations.clone()));
+    }
+
     /// Handles the version that another member has in force; a newer one is fetched from it.
     pub(crate) fn observe_version(&self, from: SocketAddr, version: u64) {
         if version > self.version() {
+            let known = KnownVersions { config: version, ..KnownVersions::default() };
             // The control thread ends only when the process exits.
-            let _ = self.events.send(Event::DeclaredVersion(from, version));
+            let _ = self.events.send(Event::DeclaredVersion(from, known));
         }
     }
 
+    /// Returns the versions of what this member knows.
+    pub(crate) fn known(&self) -> KnownVersions {
+        KnownVersions { config: self.version(), evacuation: self.evacuations.lock().version() }
+    }
+
     /// Returns the version in force, 0 if there is none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -135,12 +202,25 @@
         self.newest.load().as_ref().map(|newest| Arc::clone(&newest.declared))
     }
 
-    /// Returns the newest declaration as sent to other members, with version 0 if there is none.
+    /// Returns the newest declarations as sent to other members, with version 0 for what is not
+    /// known.
     pub(crate) fn newest(&self) -> Declaration {
+        let evacuations = self.evacuations.lock().clone();
         let newest = self.newest.load();
-        newest.as_ref().map_or_else(Declaration::default, |newest| Declaration {
-            version: newest.declared.version,
-            content: newest.content.clone(),
-        })
+        Declaration {
+            version: newest.as_ref().map_or(0, |newest| newest.declared.version),
+            content: newest.as_ref().map_or_else(Vec::new, |newest| newest.content.clone()),
+            evacuation: evacuations.version(),
+            evacuated: evacuations.centres().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Installs what is newer in the declarations of another member.
+    pub(crate) fn receive(&self, declaration: &Declaration) {
+        if declaration.version > self.version() {
+            self.offer(&declaration.content, "member");
+        }
+        let centres = declaration.evacuated.iter().map(|centre| Name::from(centre.as_str()));
+        self.offer_evacuations(Evacuations::new(declaration.evacuation, centres), "member");
     }
 }
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -251,8 +251,8 @@
     fn find(view: &View, plan: &Plan) -> Self {
         let data_centre = view.me.and_then(|me| view.state.member(me)).map(|me| &me.data_centre);
         let (mut all, mut near) = (Vec::new(), Vec::new());
-        let members = view.state.members_of(&plan.route.workspace);
-        for member in members.filter(|member| member.alive()) {
+        let members = view.state.members_of(&plan.route.workspace).filter(|member| member.alive());
+        for member in members.filter(|member| !view.evacuations.contains(&member.data_centre)) {
             all.push(member.id);
             if Some(&member.data_centre) == data_centre {
                 near.push(member.id);
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::route::{Route, Routes};
 use acaciaring_core::state::{Assignment, Member, State};
 use acaciaring_core::{KeyHash, MemberId, Name, Offset, Time, Token, UnitId};
@@ -78,6 +79,8 @@
     pub(crate) expired: Arc<HashSet<MemberId>>,
     /// The local upstream.
     pub(crate) endpoint: Option<UpstreamEndpoint>,
+    /// Data centres whose upstreams are to get no requests.
+    pub(crate) evacuations: Evacuations,
     /// True while the gate accepts no new requests.
     pub(crate) closed: bool,
 }
