Count the bytes of messages by kind, and log them at a lost lease

The transport counts the bytes of messages by kind and direction: requests, answers, records, control, and handshakes as QUIC counts them. A lost lease is logged with those of its last seconds.

No decision changes.

--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -87,6 +87,9 @@
         let meant = matches!(identity.retiring, Some(EndReason::Stop | EndReason::Upstream));
         if identity.was_leased && !held && !meant {
             self.context.metrics.count(Counter::LeaseLost, 1);
+            let (span, bytes) = self.volumes.recent(now, &self.context.transport.volumes());
+            let span_ms = wire::millis(span);
+            warn!(member = %identity.me, span_ms, %bytes, "the lease is lost; bytes before");
         }
         identity.was_leased = held;
     }
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -23,6 +23,7 @@
 mod snapshot;
 mod stop;
 mod upstream_state;
+mod volume_history;
 mod vote_recipients;
 
 use std::collections::HashMap;
@@ -59,6 +60,7 @@
 use self::snapshot::Snapshots;
 use self::stop::Stopping;
 use self::upstream_state::UpstreamState;
+use self::volume_history::VolumeHistory;
 use crate::announce::Announcement;
 use crate::appender::Appender;
 use crate::clock;
@@ -177,6 +179,8 @@
     read_mode: ReadMode,
     snapshots: Snapshots,
     voting: Voting,
+    /// Bytes of messages between members in the last seconds.
+    volumes: VolumeHistory,
     /// When the periodic maintenance last ran.
     last_maintenance: Time,
     stopping: Option<Stopping>,
@@ -225,6 +229,7 @@
             read_mode: ReadMode::default(),
             snapshots: Snapshots::new(clock::now()),
             voting: Voting::default(),
+            volumes: VolumeHistory::default(),
             last_maintenance: Time::ZERO,
             stopping: None,
             dirty: true,
@@ -328,6 +333,7 @@
         self.answer_heartbeat(now);
         if now.since(self.last_maintenance) >= MAINTENANCE_INTERVAL {
             self.last_maintenance = now;
+            self.volumes.record(now, self.context.transport.volumes());
             self.update_read_mode(now);
             self.proposals.expire(now);
             self.join(now);
--- a/acaciaringd/src/peer/attempt.rs
+++ b/acaciaringd/src/peer/attempt.rs
@@ -20,6 +20,7 @@
 use crate::peer::search::{AttemptInfo, Found, Search};
 use crate::peer::timeouts;
 use crate::peer::transport::Shared;
+use crate::peer::volume::Kind;
 
 /// Silent intervals after which the connection of a running request is probed.
 pub(super) const SILENT_INTERVALS: u32 = 4;
@@ -103,6 +104,7 @@
     };
     drop(call);
     let size = frame.len();
+    shared.volume.sent(Kind::Request, size);
     let _pending = shared.outgoing.add(start.into_std(), attempt, to);
     let sent = match exchange::send(shared, to, frame, repeat, deadline).await {
         Ok(sent) => sent,
@@ -141,8 +143,10 @@
 }
 
 /// Reads an answer.
-async fn read_answer(reader: &mut FrameReader) -> Result<Answer, FrameError> {
-    match reader.next::<Reply>().await?.body {
+async fn read_answer(shared: &Shared, reader: &mut FrameReader) -> Result<Answer, FrameError> {
+    let reply = reader.next::<Reply>().await?.body;
+    shared.volume.received(Kind::Answer, reader.length());
+    match reply {
         Some(reply::Body::Answer(answer)) => Ok(answer),
         _ => Err(FrameError::Unknown),
     }
@@ -189,7 +193,7 @@
         let delivered = self.sent.stream.stopped();
         let reply = tokio::select! {
             biased;
-            reply = read_answer(&mut self.sent.reader) => Some(reply),
+            reply = read_answer(self.shared, &mut self.sent.reader) => Some(reply),
             Ok(None) = delivered => None,
             () = timeouts::wait(ack_timeout) => {
                 let silent = self.sent.link.received() == before;
@@ -204,7 +208,7 @@
         }
         self.sent.link.liveness.touch();
         self.info.set_stage(self.shared, AttemptStage::Acknowledged);
-        let answer = read_answer(&mut self.sent.reader);
+        let answer = read_answer(self.shared, &mut self.sent.reader);
         match wait_while_alive(self.shared, &self.sent.link, SILENT_INTERVALS, answer).await {
             Some(reply) => self.finish(reply).await,
             None => self.recover().await,
@@ -250,7 +254,7 @@
         let search = Search { shared, info, silence, arrived, sent: &sent.link, newest: None };
         let mut search = pin!(search.run());
         let found = tokio::select! {
-            reply = read_answer(&mut sent.reader) => match outcome_of_reply(reply) {
+            reply = read_answer(shared, &mut sent.reader) => match outcome_of_reply(reply) {
                 Some(outcome) => Found::Outcome(outcome),
                 None => search.await,
             },
@@ -261,12 +265,14 @@
             // QUIC retransmits the answer for as long as the connection is open.
             Found::AnswerDropped => {
                 info.set_stage(shared, AttemptStage::Dropped);
-                read_answer(&mut sent.reader).await.map_or(RequestOutcome::Lost, outcome_of_answer)
+                let answer = read_answer(shared, &mut sent.reader).await;
+                answer.map_or(RequestOutcome::Lost, outcome_of_answer)
             }
             // An answer that arrived before the close can still be read.
             Found::Stopped => {
                 let timeout = timeouts::response_timeout(shared, &sent.link.conn);
-                let reply = timeouts::reply_within(timeout, read_answer(&mut sent.reader)).await;
+                let answer = read_answer(shared, &mut sent.reader);
+                let reply = timeouts::reply_within(timeout, answer).await;
                 reply.and_then(outcome_of_reply).unwrap_or(RequestOutcome::Lost)
             }
         };
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -22,6 +22,7 @@
 use crate::peer::link::{self, Link};
 use crate::peer::timeouts;
 use crate::peer::transport::Shared;
+use crate::peer::volume::Kind;
 
 /// Attempts to deliver a cancellation; if all fail, the attempt runs until its deadline.
 const CANCEL_ATTEMPTS: usize = 3;
@@ -77,12 +78,17 @@
     left: Duration,
 ) -> Result<reply::Body, CallError> {
     let deadline = Instant::now() + left;
+    let kind = Kind::of_call(Some(&body));
     let frame = frame::encode(&Call { body: Some(body) }, shared.settings.message_limit)
         .or_else(|size| TooLargeSnafu { peer: to, size }.fail())?;
+    shared.volume.sent(kind, frame.len());
     let mut sent = send(shared, to, frame, Repeat::Once, deadline).await?;
     let reply = wait_while_alive(shared, &sent.link, SILENT_INTERVALS, sent.reader.next::<Reply>());
     match time::timeout_at(deadline, reply).await {
-        Ok(Some(Ok(Reply { body: Some(body) }))) => return Ok(body),
+        Ok(Some(Ok(Reply { body: Some(body) }))) => {
+            shared.volume.received(Kind::of_reply(Some(&body)), sent.reader.length());
+            return Ok(body);
+        }
         Ok(Some(Err(error))) if let Some(code) = error.refusal() => {
             return RefusedSnafu { peer: to, code }.fail();
         }
@@ -205,10 +211,13 @@
 ) -> Option<reply::Body> {
     let limit = shared.settings.message_limit;
     let frame = frame::encode(&Call { body: Some(body) }, limit).ok()?;
+    shared.volume.sent(Kind::Control, frame.len());
     let (mut stream, mut reader) = link::open(conn, limit).await?;
     stream.write_chunk(frame).await.ok()?;
     stream.finish().ok()?;
-    reader.next::<Reply>().await.ok()?.body
+    let reply = reader.next::<Reply>().await.ok()?.body;
+    shared.volume.received(Kind::of_reply(reply.as_ref()), reader.length());
+    reply
 }
 
 /// Resets a stream, which stops sending the rest of its message.
--- a/acaciaringd/src/peer/frame.rs
+++ b/acaciaringd/src/peer/frame.rs
@@ -96,12 +96,14 @@
     recv: RecvStream,
     buffer: BytesMut,
     limit: usize,
+    /// Length of the last message, in bytes.
+    length: usize,
 }
 
 impl FrameReader {
     /// Creates a reader of messages of at most `limit` bytes.
     pub fn new(recv: RecvStream, limit: usize) -> Self {
-        Self { recv, buffer: BytesMut::new(), limit }
+        Self { recv, buffer: BytesMut::new(), limit, length: 0 }
     }
 
     /// Reads the next message.
@@ -133,6 +135,11 @@
         }
     }
 
+    /// Returns the length of the last message, in bytes.
+    pub const fn length(&self) -> usize {
+        self.length
+    }
+
     /// Asks the peer to stop sending.
     pub fn stop(&mut self, code: Code) {
         // Fails only if the stream has already ended.
@@ -150,6 +157,7 @@
             return Ok(None);
         }
         self.buffer.advance(PREFIX_BYTES);
+        self.length = size;
         Ok(Some(self.buffer.split_to(size)))
     }
 }
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -30,6 +30,7 @@
 mod traffic;
 mod transport;
 mod trust;
+mod volume;
 
 pub use self::attempt::{RequestOutcome, RunningRequest};
 pub use self::cancel::CancelFlag;
@@ -38,3 +39,4 @@
 pub use self::settings::PeerSettings;
 pub use self::traffic::Traffic;
 pub use self::transport::{BoxFuture, Handler, Transport};
+pub(crate) use self::volume::Volumes;
--- a/acaciaringd/src/peer/pool.rs
+++ b/acaciaringd/src/peer/pool.rs
@@ -20,6 +20,7 @@
 use crate::peer::serve;
 use crate::peer::tls::SERVER_NAME;
 use crate::peer::transport::Shared;
+use crate::peer::volume::Kind;
 
 /// Silence after which an incoming connection is no longer used for datagrams.
 ///
@@ -161,6 +162,7 @@
     pub fn send(&self, shared: &Arc<Shared>, to: SocketAddr, datagram: Bytes, reconnect: bool) {
         let mut slots = self.slots.lock();
         let slot = slots.entry(to).or_default();
+        shared.volume.sent(Kind::Control, datagram.len());
         if let Some(link) = slot.pick_for_datagram(reconnect) {
             match link.conn.send_datagram(datagram.clone()) {
                 Err(SendDatagramError::ConnectionLost(_)) => {}
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -18,6 +18,7 @@
 use crate::peer::inflight::{InflightGuard, Stage};
 use crate::peer::serve::{write_frame, write_last};
 use crate::peer::transport::Shared;
+use crate::peer::volume::Kind;
 use crate::trace::TraceContext;
 
 /// Runs a request at most once and writes its answer.
@@ -140,6 +141,7 @@
             (reply, frame)
         }
     };
+    shared.volume.sent(Kind::Answer, frame.len());
     if let Some(reply::Body::Answer(answer)) = reply.body {
         shared.table.finish(attempt, answer);
     }
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -25,6 +25,7 @@
 use crate::peer::run::serve_request;
 use crate::peer::table;
 use crate::peer::transport::Shared;
+use crate::peer::volume;
 
 /// Network delay from which a request runs only after its sender has answered a probe.
 ///
@@ -71,6 +72,10 @@
     let process = link.process;
     let weak = Arc::downgrade(&link);
     drop(link);
+    let stats = conn.stats();
+    let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    shared.volume.sent(volume::Kind::Handshake, size(stats.udp_tx.bytes));
+    shared.volume.received(volume::Kind::Handshake, size(stats.udp_rx.bytes));
     shared.registry.open(id, conn.clone());
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
@@ -113,6 +118,7 @@
 }
 
 fn handle_datagram(shared: &Shared, from: SocketAddr, bytes: Bytes) {
+    shared.volume.received(volume::Kind::Control, bytes.len());
     match Datagram::decode(bytes) {
         Ok(datagram) => shared.handler.datagram(from, datagram),
         Err(error) => warn!(%from, %error, "dropped a datagram that could not be decoded"),
@@ -141,7 +147,10 @@
     let call = reader.next::<Call>().await;
     let body = call.and_then(|call| call.body.ok_or(FrameError::Unknown));
     let body = match body {
-        Ok(body) => body,
+        Ok(body) => {
+            shared.volume.received(volume::Kind::of_call(Some(&body)), reader.length());
+            body
+        }
         Err(error) => {
             // A reset stream or closed connection is not the message's fault; the rest is invalid.
             if error.code() != Code::None {
@@ -300,8 +309,12 @@
 /// Writes the only message of a stream; returns whether the peer has acknowledged it, `None` if it
 /// exceeds the message limit.
 async fn write_reply(shared: &Shared, send: &mut SendStream, body: reply::Body) -> Option<bool> {
+    let kind = volume::Kind::of_reply(Some(&body));
     match encode(shared, body) {
-        Ok(frame) => Some(write_frame(send, frame).await),
+        Ok(frame) => {
+            shared.volume.sent(kind, frame.len());
+            Some(write_frame(send, frame).await)
+        }
         Err(size) => {
             error!(size, "reply exceeds the message limit; resetting its stream");
             reset(send, Code::None);
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -37,6 +37,7 @@
 use crate::peer::tls::{self, Configs};
 use crate::peer::traffic::{Registry, Traffic};
 use crate::peer::trust::{Fingerprint, Trusted};
+use crate::peer::volume::{Volume, Volumes};
 
 /// Time for closing all connections when this process stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -85,6 +86,8 @@
     pub limiter: RequestLimiter,
     pub lags: Lags,
     pub registry: Registry,
+    /// Bytes of messages by kind.
+    pub volume: Volume,
     /// Messages of other members that are being handled.
     pub inflight: Arc<InflightTracker>,
     /// Attempts of this process at other members.
@@ -165,6 +168,7 @@
             limiter,
             lags: Lags::default(),
             registry: Registry::default(),
+            volume: Volume::default(),
             inflight: Arc::default(),
             outgoing: Arc::default(),
             stopped_peers: StoppedProcesses::default(),
@@ -308,6 +312,12 @@
         self.inner.shared.registry.traffic()
     }
 
+    /// Returns the bytes of messages sent and received so far, by kind.
+    #[must_use]
+    pub(crate) fn volumes(&self) -> Volumes {
+        self.inner.shared.volume.totals()
+    }
+
     /// Returns the shared state, for tests.
     #[cfg(test)]
     pub(super) fn shared(&self) -> &Arc<Shared> {
