Bound the bytes in flight on a connection by the width of the link

Cause, by the lines at lost leases and suspect connections: a QUIC connection opens its window until packets are lost, so each upload of 60 to 360 KB overflows the queue of a 10 Mbit/s link and loses 80 to 150 packets of its own; with them go those of all other connections, whose round trips are 4 to 8 ms: renewals, acknowledgements, requests. Their senders count the peer as silent after 77 ms and open connections, and in the three seconds before a lost lease a member had sent 0.5 to 1.3 MB of requests and up to 0.5 MB of handshakes.

The width of the link is a setting, `peer.link`, which the deployment knows. A window is at most what the link carries in 10 ms, and a long message has the time that it takes on the link until its acknowledgement is due.

--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -46,9 +46,20 @@
         message_limit: message_limit(settings),
         ack_timeout: settings.peer.arrival,
         connect: settings.peer.connect,
+        link_rate: link_rate(settings.peer.link),
     }
 }
 
+/// Converts Mbit/s to bytes per second.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the setting is bounded"
+)]
+fn link_rate(mbits: f64) -> u64 {
+    (mbits * 125_000.0) as u64
+}
+
 /// Returns the largest message between members in bytes: a body and its headers.
 fn message_limit(settings: &Settings) -> usize {
     usize::try_from(settings.limits.body + ENVELOPE_BYTES).unwrap_or(usize::MAX)
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -33,9 +33,6 @@
 /// Silent intervals after which the connection of a pending call is probed.
 const SILENT_INTERVALS: u32 = 1;
 
-/// Bytes of a message for which its acknowledgement timeout is extended by one millisecond.
-const BYTES_PER_MS: usize = 16 << 10;
-
 /// Reserved attempt id; a probe for it only tests the connection.
 const NO_ATTEMPT: u64 = 0;
 
@@ -231,7 +228,8 @@
 
 /// Returns the time within which a peer should acknowledge a message of `size` bytes.
 pub(super) fn ack_timeout(shared: &Shared, conn: &Connection, size: usize) -> Duration {
-    let transfer = u64::try_from(size / BYTES_PER_MS).unwrap_or(u64::MAX);
+    let rate = usize::try_from(shared.settings.link_rate / 1000).unwrap_or(usize::MAX);
+    let transfer = u64::try_from(size / rate.max(1)).unwrap_or(u64::MAX);
     timeouts::response_timeout(shared, conn) + Duration::from_millis(transfer)
 }
 
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -31,6 +31,7 @@
 mod transport;
 mod trust;
 mod volume;
+mod window;
 
 pub use self::attempt::{RequestOutcome, RunningRequest};
 pub use self::cancel::CancelFlag;
--- a/acaciaringd/src/peer/settings.rs
+++ b/acaciaringd/src/peer/settings.rs
@@ -27,6 +27,8 @@
     pub connect: Duration,
     /// Largest message in bytes.
     pub message_limit: usize,
+    /// Width of the link of this VM in bytes per second.
+    pub link_rate: u64,
 }
 
 impl Default for PeerSettings {
@@ -41,6 +43,7 @@
             ack_timeout: Duration::from_millis(60),
             connect: Duration::from_millis(500),
             message_limit: 4 << 20,
+            link_rate: 125_000_000,
         }
     }
 }
--- a/acaciaringd/src/peer/tls.rs
+++ b/acaciaringd/src/peer/tls.rs
@@ -23,6 +23,7 @@
 };
 use crate::peer::settings::PeerSettings;
 use crate::peer::trust::{self, DigestVerifier, Fingerprint, Trusted};
+use crate::peer::window::BoundedConfig;
 
 /// Name in every member's certificate.
 pub(super) const SERVER_NAME: &str = "acaciaring";
@@ -68,7 +69,7 @@
     let credentials =
         if own { self_signed(&provider, &trusted)? } else { from_files(settings, &provider)? };
     let fingerprint = credentials.chain.first().filter(|_| own).map(trust::fingerprint);
-    let transport = Arc::new(transport());
+    let transport = Arc::new(transport(settings.link_rate));
     let mut server = server(settings, &provider, &credentials)?;
     server.transport_config(Arc::clone(&transport));
     let mut client = client(settings, provider, credentials)?;
@@ -151,9 +152,10 @@
 }
 
 /// Returns the QUIC parameters of a connection, the same at both ends.
-fn transport() -> TransportConfig {
+fn transport(link_rate: u64) -> TransportConfig {
     let mut config = TransportConfig::default();
     config
+        .congestion_controller_factory(Arc::new(BoundedConfig::new(link_rate)))
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_BIDI_STREAMS))
         .max_concurrent_uni_streams(VarInt::from_u32(MAX_UNI_STREAMS))
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
