Bound the time for which an upstream counts as cold, and keep it at its leaving

Found on reading the change: a heartbeat with a senseless time would limit its server for as long as it runs, and a configuration that arrives while a cold server leaves ended its limit a second before the gate closes.

--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -26,6 +26,11 @@
 /// more slots would make the fold of each record slower.
 const DECLARED_SLOTS: u32 = 4096;
 
+/// Longest time for which an upstream may announce that it stays cold.
+///
+/// Guards against an upstream that states a wrong time and would be limited for as long as it runs.
+const MAX_COLD: Duration = Duration::from_mins(10);
+
 /// Delay per rank, so that not every member proposes the assignment.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
@@ -70,16 +75,20 @@
     }
 
     /// Limits the requests to a cold upstream to what its service's configuration allows.
+    ///
+    /// The limit of an upstream that is leaving stays as it is.
     pub(super) fn limit_cold(&self, now: Time) {
-        self.context.gate.limit_cold(now, self.cold_limit());
+        if let Some(announced) = &self.announced {
+            self.context.gate.limit_cold(now, self.cold_limit(announced));
+        }
     }
 
-    fn cold_limit(&self) -> Option<ColdLimit> {
-        let Announced { announcement, at } = self.announced.as_ref()?;
-        let until = *at + Duration::from_millis(announcement.cold);
+    fn cold_limit(&self, announced: &Announced) -> Option<ColdLimit> {
+        let Announced { announcement, at } = announced;
+        let left = Duration::from_millis(announcement.cold).min(MAX_COLD);
         let rates = &self.declared.as_ref()?.cold_rates;
         let rate = *rates.get(announcement.workspace.as_str())?;
-        Some(ColdLimit { rate, until }).filter(|_| announcement.cold > 0)
+        Some(ColdLimit { rate, until: *at + left }).filter(|_| !left.is_zero())
     }
 
     /// Proposes to attach the upstream once this member holds its lease.
