Log and count what tells a log that went back from a stale read

Members whose log had gone back dropped each read as overtaken, without a line. No decision changes.

--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -7,9 +7,11 @@
 use acaciaring_core::state::{Folded, ReplicaError};
 use acaciaring_schema::log::{Batch, Record, record};
 use prost::Message;
-use tracing::{Level, debug, enabled, error};
+use tracing::{Level, debug, enabled, error, info};
 
 use super::Control;
+use crate::metrics::Counter;
+use crate::reader::Origin;
 
 /// Progress of this member in the log.
 #[derive(Debug, Default)]
@@ -20,9 +22,25 @@
     pub(super) last_queried: Time,
     /// True once the log was folded to its end.
     pub(super) caught_up: bool,
+    /// True while reads of the log service end before the position of this member.
+    pub(super) regressed: bool,
 }
 
 impl Control {
+    /// Reports a read of the log service that ends before the position of this member.
+    ///
+    /// A single one may have been overtaken by records that were passed on.
+    pub(super) fn report_regression(&mut self, origin: Origin, batch: &Batch) {
+        if !matches!(origin, Origin::Service(_)) {
+            return;
+        }
+        self.context.metrics.count(Counter::LogRegressed, 1);
+        if !mem::replace(&mut self.progress.regressed, true) {
+            let (position, end) = (self.replica.position(), batch.next);
+            info!(position, end, "a read of the log ends before the position of this member");
+        }
+    }
+
     /// Folds a batch of records and settles own proposals among them.
     pub(super) fn on_batch(&mut self, now: Time, batch: &Batch) {
         let before = self.replica.state().next();
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -67,7 +67,7 @@
 use crate::critical_thread;
 use crate::declared::{Declarations, Declared};
 use crate::gate::Gate;
-use crate::metrics::Metrics;
+use crate::metrics::{Gauge, Metrics};
 use crate::outbox::Outbox;
 use crate::peer::Transport;
 use crate::platform::LogService;
@@ -265,7 +265,10 @@
     fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Batch(batch, origin, done) => {
-                if !self.replica.is_overtaken(&batch) {
+                if self.replica.is_overtaken(&batch) {
+                    self.report_regression(origin, &batch);
+                } else {
+                    self.progress.regressed = false;
                     self.on_batch(now, &batch);
                 }
                 self.observe_read(origin, batch.next);
@@ -333,6 +336,7 @@
         self.answer_heartbeat(now);
         if now.since(self.last_maintenance) >= MAINTENANCE_INTERVAL {
             self.last_maintenance = now;
+            self.context.metrics.gauge(Gauge::LogGeneration, self.context.log.generation());
             self.volumes.record(now, self.context.transport.volumes());
             self.update_read_mode(now);
             self.proposals.expire(now);
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -113,6 +113,8 @@
         LogAppends = "log.appends", "records";
         /// Snapshots that this member appended.
         LogSnapshots = "log.snapshots", "snapshots";
+        /// Reads of the log that ended before what this member had folded.
+        LogRegressed = "log.regressed", "reads";
         /// Metrics that were dropped because the queue to the statsd server was full.
         MetricsDropped = "metrics.dropped", "metrics";
     }
@@ -133,6 +135,8 @@
         UnitsStandby = "units.standby", "units";
         /// Highest offset of the log that this member has folded.
         LogApplied = "log.applied", "offset";
+        /// Generation of the log, which rises when the log service comes back from an older copy.
+        LogGeneration = "log.generation", "generation";
         /// Records without effect: undecodable, repeated or rejected.
         LogSkipped = "log.skipped", "records";
         /// 1 while this member reads the log service, 0 while others pass records on to it.
--- a/acaciaringd/src/platform/mod.rs
+++ b/acaciaringd/src/platform/mod.rs
@@ -104,6 +104,14 @@
     ///
     /// Does nothing by default, for services that drop old records by themselves.
     fn trim(&self, _before: Offset) {}
+
+    /// Returns the highest generation of the log that the service has named.
+    ///
+    /// It rises each time that the service loses records that it had confirmed. It is 0 by default,
+    /// for services that never do.
+    fn generation(&self) -> u64 {
+        0
+    }
 }
 
 impl LogService for LogClient {
