--- a/acaciaring_core/examples/fold_cost.rs
+++ b/acaciaring_core/examples/fold_cost.rs
@@ -139,7 +139,7 @@
     fn fold(&mut self, body: Body) -> Duration {
         let offset = self.state.next().max(1);
         let id = u128::from(offset).to_le_bytes().to_vec();
-        let entry = Record { id, body: Some(body) }.encode_to_vec();
+        let entry = Record { id, body: Some(body), generation: 0 }.encode_to_vec();
         let (time, outcome) = timed(|| self.state.fold(offset, &entry));
         assert_eq!(outcome, Outcome::Applied);
         time
--- a/acaciaring_core/src/evacuation.rs
+++ b/acaciaring_core/src/evacuation.rs
@@ -2,7 +2,8 @@
 //!
 //! Operators declare them one by one in an ordered source. Members read the source independently,
 //! start at different times, miss records that have expired, and pass on what they know, so two
-//! copies are compared by how much of the source they cover.
+//! copies are compared by how much of the source they cover. Offsets include the generation of the
+//! source, which rises when it loses records.
 
 use std::collections::BTreeSet;
 
@@ -64,6 +65,15 @@
         newer
     }
 
+    /// Continues in a later generation of the source; returns true if `other` is of one.
+    ///
+    /// What was evacuated stays so until the source says that it ended: operators declare again what
+    /// the source has lost, and upstreams must not be used until then.
+    pub fn reopen(&mut self, mut other: Self) -> bool {
+        other.centres.extend(self.centres.iter().cloned());
+        self.replace(other)
+    }
+
     /// Replaces this state by one that covers more of the source; returns true if it does.
     pub fn replace(&mut self, other: Self) -> bool {
         let newer = other.version > self.version;
--- a/acaciaring_core/src/id.rs
+++ b/acaciaring_core/src/id.rs
@@ -14,6 +14,49 @@
 /// Zero means none, as the log numbers records from 1.
 pub type Offset = u64;
 
+/// Distance between the offsets of one position in two generations of the log.
+///
+/// Exceeds the records that a log service can lose at once: its copies are seconds old, and it
+/// admits some thousand appends per second. A wider one would lengthen the fencing tokens, which
+/// have to fit into a heartbeat reply by the dozen.
+const GENERATION_STRIDE: u64 = 1 << 20;
+
+/// Generation of the log, which rises each time that the log service comes back from an older copy.
+///
+/// The service then gives positions out again. Offsets include the generation, so that they, and the
+/// ids, versions and tokens that derive from them, still rise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Generation(pub u64);
+
+impl Generation {
+    /// Highest generation whose offsets leave room for fencing tokens.
+    pub const MAX: Self = Self(1 << 20);
+
+    /// Returns the offset of a position of the log service, which counts from 1.
+    #[must_use]
+    pub const fn offset(self, position: u64) -> Offset {
+        position.saturating_add(self.0.saturating_mul(GENERATION_STRIDE))
+    }
+
+    /// Returns the position of an offset of this generation.
+    #[must_use]
+    pub const fn position(self, offset: Offset) -> u64 {
+        offset.saturating_sub(self.0.saturating_mul(GENERATION_STRIDE))
+    }
+
+    /// Returns the offset of the first position.
+    #[must_use]
+    pub const fn first(self) -> Offset {
+        self.offset(1)
+    }
+}
+
+impl Display for Generation {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        write!(out, "{}", self.0)
+    }
+}
+
 /// Slot of a service that is partitioned by key.
 pub type Slot = u32;
 
--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -25,7 +25,9 @@
 pub mod vacancy;
 mod verdict;
 
-pub use crate::id::{Fingerprint, KeyHash, MemberId, Name, Offset, RequestId, Slot, Token, UnitId};
+pub use crate::id::{
+    Fingerprint, Generation, KeyHash, MemberId, Name, Offset, RequestId, Slot, Token, UnitId,
+};
 pub use crate::time::Time;
 pub use crate::verdict::{Reason, Refusal, Verdict};
 pub use acaciaring_schema::quantity::{QuantityError, parse_duration, parse_size};
--- a/acaciaring_core/src/pace.rs
+++ b/acaciaring_core/src/pace.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::fanout::{PASS_TIMEOUT, READ_INTERVAL, ReadMode};
-use crate::id::Offset;
+use crate::id::{Generation, Offset};
 use crate::time::Time;
 
 /// Maximum interval between two reads, however many members there are.
@@ -46,6 +46,7 @@
 /// together. It does not pause while a caller waits for a record known to be in the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReadPacer {
+    generation: Generation,
     /// Offset of the next record to read.
     next: Offset,
     /// Offset after the last record that a caller waits for.
@@ -69,6 +70,23 @@
         Self { next: 1, ..Self::default() }
     }
 
+    /// Starts at the first record of a generation of the log, without a pause.
+    pub const fn restart(&mut self, generation: Generation) {
+        self.generation = generation;
+        self.next = generation.first();
+        self.required = 0;
+        self.sought = 0;
+        self.last_read = Time::ZERO;
+        self.missing_since = None;
+        self.partial = false;
+    }
+
+    /// Returns the generation of the log that is read.
+    #[must_use]
+    pub const fn generation(&self) -> Generation {
+        self.generation
+    }
+
     /// Returns the offset of the next record to read.
     #[must_use]
     pub const fn next(&self) -> Offset {
--- a/acaciaring_core/src/rights.rs
+++ b/acaciaring_core/src/rights.rs
@@ -28,6 +28,8 @@
     },
     /// This process is to serve, but has no lease or others may still serve the unit.
     Wait,
+    /// The same, until members that missed the beginning of a generation of the log serve no more.
+    Withheld,
     /// Another process is to serve, if any.
     Elsewhere {
         /// Owner by the folded state.
@@ -66,6 +68,12 @@
     renounced: BTreeMap<Key, Offset>,
     /// True once a record by which this process leaves is about to be appended, unless rejected.
     leaving: bool,
+    /// Offset below which tokens may be exceeded by those of records that the log has lost.
+    floor: Offset,
+    /// Units served when the floor rose: no other process can have served them since.
+    kept: BTreeSet<Key>,
+    /// True while members that missed the beginning of a generation of the log may still serve.
+    withheld: bool,
     /// Slots with a split or merge that has been appended and whose outcome is unknown.
     changing: BTreeSet<(Name, Slot)>,
 }
@@ -77,6 +85,25 @@
         Self::default()
     }
 
+    /// Begins a generation of the log, by the offset of the record that began it.
+    ///
+    /// Units that this process serves keep their tokens, so that the upstream need not be granted
+    /// them again. All others get a token above those of any record that the log has lost.
+    pub fn begin_generation(&mut self, floor: Offset) {
+        if floor > self.floor {
+            self.floor = floor;
+            self.kept = self.served.clone();
+        }
+    }
+
+    /// Sets whether this process begins to serve nothing but what it is released.
+    ///
+    /// Guards against two upstreams that hold one unit after the log has lost the record that
+    /// assigned it to another member, which learns of that late. Returns true if it has changed.
+    pub fn withhold(&mut self, withheld: bool) -> bool {
+        std::mem::replace(&mut self.withheld, withheld) != withheld
+    }
+
     /// Records that this process releases a unit permanently; returns false while it must not.
     ///
     /// A former owner releases to the owner and the standby, the owner to the standby, each with
@@ -89,6 +116,7 @@
         }
         let key = (unit, workspace.clone());
         self.served.remove(&key);
+        self.kept.remove(&key);
         self.released.insert(key, Roles::of(assignment));
         true
     }
@@ -117,6 +145,7 @@
     pub fn renounce(&mut self, workspace: &Name, unit: UnitId, version: Offset) {
         let key = (unit, workspace.clone());
         self.served.remove(&key);
+        self.kept.remove(&key);
         record_max(&mut self.renounced, key, version);
     }
 
@@ -182,6 +211,7 @@
         let find = |(unit, workspace): &Key| state.service(workspace)?.assignment(*unit);
         let mine = |a: &Assignment| a.owner == Some(me) || a.standby == Some(me);
         self.served.retain(|key| retired(key) || find(key).is_some_and(mine));
+        self.kept.retain(|key| self.served.contains(key));
         for (key, roles) in &self.released {
             if let Some(assignment) = find(key).filter(|a| *roles != Roles::of(a)) {
                 self.lapsed.insert(key.clone(), (roles.token, assignment.version));
@@ -243,12 +273,16 @@
             let lapsed = released.map(|roles| (roles.token, version));
             let lapsed = lapsed.or(self.lapsed.get(&key).copied());
             let recorded = lapsed.filter(|(since, _)| *since == token).map_or(token, |l| l.1);
+            let recorded = recorded.max(self.floor_of(&key));
             (self.owner_ready(&key, me, assignment, &expired), Token::owner(recorded))
         } else if standby == Some(me) && self.standby_ready(&key, me, assignment, expired) {
-            (true, Token::standby(version))
+            (true, Token::standby(version.max(self.floor_of(&key))))
         } else {
             return Right::Elsewhere { owner, standby };
         };
+        if ready && self.is_withheld(&key, me, assignment) {
+            return Right::Withheld;
+        }
         match holder.until() {
             Some(until) if ready && now < until => {
                 self.served.insert(key);
@@ -258,6 +292,24 @@
         }
     }
 
+    /// Returns the offset that a token of the unit must reach.
+    fn floor_of(&self, key: &Key) -> Offset {
+        if self.kept.contains(key) { 0 } else { self.floor }
+    }
+
+    /// Returns true while this process must not begin to serve a unit.
+    ///
+    /// It may once the former server has released the unit under a version of this generation: that
+    /// one then served it until now.
+    fn is_withheld(&self, key: &Key, me: MemberId, assignment: &Assignment) -> bool {
+        if !self.withheld || self.served.contains(key) {
+            return false;
+        }
+        let former = if assignment.owner == Some(me) { assignment.prior } else { assignment.owner };
+        let released = former.and_then(|from| self.received_releases.get(&(key.clone(), from)));
+        released.is_none_or(|version| *version < self.floor)
+    }
+
     fn owner_ready(
         &self,
         key: &Key,
--- a/acaciaring_core/src/state/fold.rs
+++ b/acaciaring_core/src/state/fold.rs
@@ -5,12 +5,13 @@
 use prost::Message;
 
 use super::{Outcome, RecordId, Rejection, State};
-use crate::id::Offset;
+use crate::id::{Generation, Offset};
 
 /// Record with a well-formed id and a known body.
 #[derive(Debug)]
 pub(super) struct Decoded {
     pub(super) id: RecordId,
+    pub(super) generation: Generation,
     pub(super) body: Body,
 }
 
@@ -20,7 +21,8 @@
     /// The result depends only on the bytes, so all members agree on it.
     pub(super) fn from_bytes(bytes: &[u8]) -> Option<Self> {
         let record = Record::decode(bytes).ok()?;
-        Some(Self { id: record.id.try_into().ok()?, body: record.body? })
+        let generation = Generation(record.generation);
+        Some(Self { id: record.id.try_into().ok()?, generation, body: record.body? })
     }
 }
 
@@ -51,6 +53,10 @@
         if matches!(record.body, Body::Chunk(_) | Body::Commit(_)) {
             return Outcome::Applied;
         }
+        // Its proposer acted on records that the log may have lost.
+        if record.generation != self.generation {
+            return Outcome::Rejected(Rejection::Generation { generation: record.generation });
+        }
         // The id of a rejected record is kept too: its proposer was informed that it has no
         // effect, so a duplicate must not take effect later.
         if !self.recent.insert(record.id) {
@@ -81,6 +87,7 @@
             Body::Leave(leave) => self.leave(offset, *leave),
             Body::Exit(exit) => self.exit(offset, *exit),
             Body::Evict(evict) => self.evict(offset, evict),
+            Body::Settle(_) => self.settle(),
             Body::Chunk(_) | Body::Commit(_) => Ok(()),
         }
     }
--- a/acaciaring_core/src/state/mod.rs
+++ b/acaciaring_core/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod counts;
 mod documents;
 mod fold;
+mod generation;
 mod lessors;
 mod member;
 mod members;
@@ -27,15 +28,21 @@
 pub use self::outcome::{Outcome, Rejection};
 use self::recent::RecentIds;
 pub use self::recent::{RECENT_MAX, RecordId};
-pub use self::replica::{Folded, Replica, ReplicaError};
+pub use self::replica::{Folded, Opening, Replica, ReplicaError};
 pub use self::units::HOT_MAX;
-use crate::id::{MemberId, Name, Offset};
+use crate::id::{Generation, MemberId, Name, Offset};
 use crate::route::{DocumentKind, Route};
 
 /// Cluster state; members that folded the same records have equal states.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub struct State {
     next: Offset,
+    /// Generation of the log in which the state was folded.
+    generation: Generation,
+    /// Offset of the record that began the generation, 0 in the first one.
+    floor: Offset,
+    /// True while members that missed the beginning of the generation may still serve.
+    settling: bool,
     members: BTreeMap<MemberId, Member>,
     /// Dead members still retained, in order of death.
     dead: VecDeque<MemberId>,
--- a/acaciaring_core/src/state/outcome.rs
+++ b/acaciaring_core/src/state/outcome.rs
@@ -2,7 +2,7 @@
 
 use snafu::Snafu;
 
-use crate::id::{MemberId, Name, Offset, Slot};
+use crate::id::{Generation, MemberId, Name, Offset, Slot};
 use crate::route::Fault;
 
 /// Effect of one record on the state, the same at every member.
@@ -137,6 +137,15 @@
     /// All units already have an owner.
     #[snafu(display("every unit has an owner"))]
     Assigned,
+    /// The proposer's state was of another generation of the log.
+    #[snafu(display("the record is of generation {generation} of the log"))]
+    Generation {
+        /// Generation that the record names.
+        generation: Generation,
+    },
+    /// The generation of the log has settled already.
+    #[snafu(display("the generation of the log has settled already"))]
+    Settled,
     /// No member is eligible to own units of the workspace.
     #[snafu(display("no member may own units of the workspace"))]
     NoCandidate,
--- a/acaciaring_core/src/state/replica.rs
+++ b/acaciaring_core/src/state/replica.rs
@@ -1,13 +1,12 @@
 //! Replica of the state that follows the log and recovers from a snapshot after log truncation.
 
 use acaciaring_schema::log::Batch;
-use acaciaring_schema::log::record::Body;
 use snafu::{Snafu, ensure};
 
 use super::fold::Decoded;
 use super::snapshot::{Assembler, CompleteSnapshot, SnapshotError};
 use super::{Outcome, RecordId, State};
-use crate::id::Offset;
+use crate::id::{Generation, Offset};
 
 /// Record folded by a replica, with its outcome.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,10 +50,33 @@
     },
 }
 
-/// State that follows a log with limited retention.
+/// State with which a generation of the log has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Opening {
+    /// Earlier generation in which the state was folded.
+    pub source: Generation,
+    /// Offset of the first record of that generation that the state does not include.
+    pub next: Offset,
+}
+
+impl Opening {
+    /// Returns true if a state that was folded up to `next` is continued: all records that it
+    /// includes are included in the one with which the generation has begun.
+    #[must_use]
+    pub fn continues(&self, generation: Generation, next: Offset) -> bool {
+        generation == self.source && next <= self.next
+    }
+}
+
+/// State that follows one generation of a log with limited retention.
+///
+/// A generation after the first one begins with a snapshot of the state that a member folded in an
+/// earlier one. What precedes it in the log has no effect.
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
     state: State,
+    generation: Generation,
+    opening: Option<Opening>,
     assembler: Assembler,
     phase: Phase,
     snapshot_next: Offset,
@@ -77,11 +99,14 @@
     /// Records read during the scan; those after the snapshot are folded once it is loaded.
     buffered: Vec<Vec<u8>>,
     problem: Option<SnapshotError>,
+    /// First snapshot of an earlier generation, with which this one begins unless a later snapshot
+    /// of this generation is found.
+    opening: Option<CompleteSnapshot>,
 }
 
 impl Scan {
     fn new(start: Offset) -> Self {
-        Self { start, buffered: Vec::new(), problem: None }
+        Self { start, buffered: Vec::new(), problem: None, opening: None }
     }
 
     fn next(&self) -> Offset {
@@ -91,6 +116,34 @@
 }
 
 impl Replica {
+    /// Creates a replica that has read nothing of a generation.
+    #[must_use]
+    pub fn in_generation(generation: Generation) -> Self {
+        let phase = match generation {
+            Generation(0) => Phase::Folding,
+            _ => Phase::Scanning(Scan::new(generation.first())),
+        };
+        Self { generation, phase, ..Self::default() }
+    }
+
+    /// Returns the generation of the log that the replica follows.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Returns true once the state of the generation is known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.state.generation() == self.generation
+    }
+
+    /// Returns the state with which the generation began, `None` if its record was not read.
+    #[must_use]
+    pub fn opening(&self) -> Option<Opening> {
+        self.opening
+    }
+
     /// Returns the state, which may lag behind the log.
     #[must_use]
     pub fn state(&self) -> &State {
@@ -147,6 +200,10 @@
                 self.process_record(offset, entry, &mut folded);
             }
         }
+        self.open(&mut folded);
+        if !self.is_open() {
+            return Ok(folded);
+        }
         if let Phase::Scanning(scan) = &self.phase {
             let problem = scan.problem.clone();
             ensure!(scan.next() < batch.next, HistoryLostSnafu { oldest: scan.start, problem });
@@ -163,7 +220,7 @@
 
     fn process_record(&mut self, offset: Offset, entry: &[u8], folded: &mut Vec<Folded>) {
         let record = Decoded::from_bytes(entry);
-        let snapshot = record.as_ref().and_then(|record| self.assemble(offset, &record.body));
+        let snapshot = record.as_ref().and_then(|record| self.assemble(offset, record));
         match &mut self.phase {
             Phase::Folding => folded.push(fold(&mut self.state, offset, record.as_ref())),
             Phase::Scanning(scan) => {
@@ -175,8 +232,11 @@
         }
     }
 
-    fn assemble(&mut self, offset: Offset, body: &Body) -> Option<CompleteSnapshot> {
-        let snapshot = self.assembler.feed(offset, body)?;
+    fn assemble(&mut self, offset: Offset, record: &Decoded) -> Option<CompleteSnapshot> {
+        if record.generation != self.generation {
+            return None;
+        }
+        let snapshot = self.assembler.feed(offset, &record.body)?;
         self.snapshot_next = self.snapshot_next.max(snapshot.next);
         Some(snapshot)
     }
@@ -185,7 +245,14 @@
     ///
     /// Ignores a snapshot that ends before the scan starts, as records between are missing.
     fn load_snapshot(&mut self, snapshot: &CompleteSnapshot, folded: &mut Vec<Folded>) {
+        let is_open = self.is_open();
         let Phase::Scanning(scan) = &mut self.phase else { return };
+        if snapshot.next < self.generation.first() {
+            if !is_open && scan.opening.is_none() && snapshot.state().is_ok() {
+                scan.opening = Some(snapshot.clone());
+            }
+            return;
+        }
         // The scan starts after the state's position, so this snapshot is newer than the state.
         let Some(covered) = snapshot.next.checked_sub(scan.start) else { return };
         match snapshot.state() {
@@ -201,6 +268,24 @@
         }
         self.phase = Phase::Folding;
     }
+
+    /// Begins the generation with the first snapshot of an earlier one, if one was found.
+    fn open(&mut self, folded: &mut Vec<Folded>) {
+        let Phase::Scanning(scan) = &mut self.phase else { return };
+        let Some(snapshot) = scan.opening.take() else { return };
+        let Ok(mut state) = snapshot.state() else { return };
+        self.opening = Some(Opening { source: state.generation(), next: snapshot.next });
+        state.open(self.generation, snapshot.committed);
+        self.snapshot_next = state.next();
+        let covered =
+            usize::try_from(state.next().saturating_sub(scan.start)).unwrap_or(usize::MAX);
+        for entry in scan.buffered.iter().skip(covered) {
+            let offset = state.next();
+            folded.push(fold(&mut state, offset, Decoded::from_bytes(entry).as_ref()));
+        }
+        self.state = state;
+        self.phase = Phase::Folding;
+    }
 }
 
 fn fold(state: &mut State, offset: Offset, record: Option<&Decoded>) -> Folded {
--- a/acaciaring_core/src/state/snapshot/chunk.rs
+++ b/acaciaring_core/src/state/snapshot/chunk.rs
@@ -33,7 +33,9 @@
         chunks,
         digest: digest(&bytes).to_vec(),
     }));
-    let record = |(index, body)| Record { id: record_id(id, index).to_vec(), body: Some(body) };
+    let generation = state.generation().0;
+    let record =
+        |(index, body)| Record { id: record_id(id, index).to_vec(), body: Some(body), generation };
     (0..).zip(bodies).map(record).collect()
 }
 
--- a/acaciaring_core/src/state/snapshot/decode.rs
+++ b/acaciaring_core/src/state/snapshot/decode.rs
@@ -6,7 +6,7 @@
 use acaciaring_schema::state as wire;
 use snafu::{OptionExt, Snafu, ensure};
 
-use crate::id::{KeyHash, MemberId, Name, Offset, UnitId};
+use crate::id::{Generation, KeyHash, MemberId, Name, Offset, UnitId};
 use crate::route::Document;
 use crate::state::documents::{document_field, document_kind, slot_count};
 use crate::state::{
@@ -71,7 +71,14 @@
     pub fn from_snapshot(snapshot: &wire::Snapshot) -> Result<Self, SnapshotError> {
         let next = snapshot.next;
         ensure!(next < OFFSET_END, NextSnafu { next });
-        let mut state = Self { next, skipped: snapshot.skipped, ..Self::default() };
+        let mut state = Self {
+            next,
+            skipped: snapshot.skipped,
+            generation: Generation(snapshot.generation),
+            floor: snapshot.floor,
+            settling: snapshot.settling,
+            ..Self::default()
+        };
         for member in &snapshot.members {
             state.restore_member(member)?;
         }
--- a/acaciaring_core/src/state/snapshot/encode.rs
+++ b/acaciaring_core/src/state/snapshot/encode.rs
@@ -21,6 +21,9 @@
             services: self.services.values().map(service).collect(),
             recent: self.recent.iter().map(|id| id.to_vec()).collect(),
             skipped: self.skipped,
+            generation: self.generation.0,
+            floor: self.floor,
+            settling: self.settling,
         }
     }
 }
--- a/acaciaring_core/tests/fanout.rs
+++ b/acaciaring_core/tests/fanout.rs
@@ -15,7 +15,7 @@
 fn record(number: u64, body: record::Body) -> Vec<u8> {
     let mut id = vec![0; 16];
     id[..8].copy_from_slice(&number.to_be_bytes());
-    Record { id, body: Some(body) }.encode_to_vec()
+    Record { id, body: Some(body), generation: 0 }.encode_to_vec()
 }
 
 /// Returns the record by which the process of a VM joins; `number` tells records apart.
@@ -34,7 +34,7 @@
 fn fleet(members: u64, centres: u64) -> State {
     let mut replica = Replica::default();
     let entries = (0..members).map(|number| join(number, number, centres)).collect();
-    let batch = Batch { oldest: 1, next: members + 1, start: 1, entries };
+    let batch = Batch { oldest: 1, next: members + 1, start: 1, entries, generation: 0 };
     replica.apply_batch(&batch).expect("the records fold");
     replica.state().clone()
 }
@@ -126,7 +126,9 @@
     let evict = Evict { member: 8, successor: members + 1, version: 8, ..Evict::default() };
     entries.push(record(members + 1, record::Body::Evict(evict)));
     let next = entries.len() as u64 + 1;
-    replica.apply_batch(&Batch { oldest: 1, next, start: 1, entries }).expect("the records fold");
+    replica
+        .apply_batch(&Batch { oldest: 1, next, start: 1, entries, generation: 0 })
+        .expect("the records fold");
     let (before, after) = (fleet(members, 3), replica.state().clone());
     assert!(!ids(&after).contains(&MemberId(8)), "the former process is evicted");
     let renamed = |id: MemberId| if id == MemberId(8) { MemberId(members + 1) } else { id };
--- a/acaciaring_core/tests/fanout_schedule.rs
+++ b/acaciaring_core/tests/fanout_schedule.rs
@@ -93,14 +93,14 @@
     };
     let mut id = vec![0; 16];
     id[..8].copy_from_slice(&(number + 1).to_be_bytes());
-    Record { id, body: Some(record::Body::Join(join)) }.encode_to_vec()
+    Record { id, body: Some(record::Body::Join(join)), generation: 0 }.encode_to_vec()
 }
 
 impl Fleet {
     fn new(seed: u64) -> Self {
         let entries = (0..MEMBERS).map(join).collect();
         let mut replica = Replica::default();
-        let batch = Batch { oldest: 1, next: MEMBERS + 1, start: 1, entries };
+        let batch = Batch { oldest: 1, next: MEMBERS + 1, start: 1, entries, generation: 0 };
         replica.apply_batch(&batch).expect("the records fold");
         let mut fleet = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -185,10 +185,11 @@
             exit[..8].copy_from_slice(&next.to_be_bytes());
             let entries = vec![
                 again.encode_to_vec(),
-                Record { id: own, body: Some(record::Body::Evict(evict)) }.encode_to_vec(),
-                Record { id: exit, body: Some(leave) }.encode_to_vec(),
+                Record { id: own, body: Some(record::Body::Evict(evict)), generation: 0 }
+                    .encode_to_vec(),
+                Record { id: exit, body: Some(leave), generation: 0 }.encode_to_vec(),
             ];
-            let batch = Batch { oldest: 1, next: next + 3, start: next, entries };
+            let batch = Batch { oldest: 1, next: next + 3, start: next, entries, generation: 0 };
             self.replica.apply_batch(&batch).expect("the records fold");
             self.see_members();
             let evicted = [id, MemberId(next)];
--- a/acaciaring_core/tests/fold/replica.rs
+++ b/acaciaring_core/tests/fold/replica.rs
@@ -54,7 +54,8 @@
     let mut replica = Replica::default();
     replica.apply_batch(&log.batch(1, 1, 6)).expect("a batch from the start");
     let position = replica.position();
-    let read = |from, next| Batch { oldest: 1, next, start: from, entries: Vec::new() };
+    let read =
+        |from, next| Batch { oldest: 1, next, start: from, entries: Vec::new(), generation: 0 };
     assert!(replica.is_overtaken(&read(position - 2, position - 1)));
     assert!(replica.is_overtaken(&read(position - 1, position - 1)));
     assert!(!replica.is_overtaken(&read(position, position)));
--- a/acaciaring_core/tests/fold/support.rs
+++ b/acaciaring_core/tests/fold/support.rs
@@ -134,7 +134,7 @@
     pub fn batch(&self, oldest: Offset, start: Offset, count: usize) -> Batch {
         let skip = usize::try_from(start - 1).expect("a small offset");
         let entries = self.entries.iter().skip(skip).take(count).cloned().collect();
-        Batch { oldest, next: self.next(), start, entries }
+        Batch { oldest, next: self.next(), start, entries, generation: 0 }
     }
 
     pub fn next(&self) -> Offset {
@@ -143,7 +143,7 @@
 }
 
 pub fn encode(id: [u8; 16], body: Body) -> Vec<u8> {
-    Record { id: id.to_vec(), body: Some(body) }.encode_to_vec()
+    Record { id: id.to_vec(), body: Some(body), generation: 0 }.encode_to_vec()
 }
 
 pub fn join(centre: usize) -> Body {
--- a/acaciaring_core/tests/lessors_restart.rs
+++ b/acaciaring_core/tests/lessors_restart.rs
@@ -20,7 +20,7 @@
     };
     let mut id = vec![0; 16];
     id[..8].copy_from_slice(&(start * MEMBERS + vm + 1).to_be_bytes());
-    Record { id, body: Some(record::Body::Join(join)) }.encode_to_vec()
+    Record { id, body: Some(record::Body::Join(join)), generation: 0 }.encode_to_vec()
 }
 
 /// Returns the state once all processes have joined and the first `again` ones have joined again.
@@ -29,7 +29,9 @@
     entries.extend((0..again).map(|vm| join(vm, 1)));
     let next = entries.len() as u64 + 1;
     let mut replica = Replica::default();
-    replica.apply_batch(&Batch { oldest: 1, next, start: 1, entries }).expect("the records fold");
+    replica
+        .apply_batch(&Batch { oldest: 1, next, start: 1, entries, generation: 0 })
+        .expect("the records fold");
     replica.state().clone()
 }
 
--- a/acaciaring_core/tests/ownership_schedule.rs
+++ b/acaciaring_core/tests/ownership_schedule.rs
@@ -204,7 +204,7 @@
         self.last_number += 1;
         let text = format!("{body:?}");
         let id = u128::from(self.last_number).to_le_bytes().to_vec();
-        let bytes = Record { id, body: Some(body) }.encode_to_vec();
+        let bytes = Record { id, body: Some(body), generation: 0 }.encode_to_vec();
         Entry { number: self.last_number, bytes, text }
     }
 
--- a/acaciaring_core/tests/support/cluster.rs
+++ b/acaciaring_core/tests/support/cluster.rs
@@ -110,7 +110,7 @@
     /// Appends a record; returns true if it is applied.
     pub fn append(&mut self, body: Body) -> bool {
         let id = u128::try_from(self.log.len()).expect("few").to_le_bytes().to_vec();
-        self.log.push(Record { id, body: Some(body) }.encode_to_vec());
+        self.log.push(Record { id, body: Some(body), generation: 0 }.encode_to_vec());
         let offset = self.state.next().max(1);
         self.state.fold(offset, self.log.last().expect("just pushed")) == Outcome::Applied
     }
--- a/acaciaring_model/src/records.rs
+++ b/acaciaring_model/src/records.rs
@@ -18,7 +18,7 @@
 pub fn record(id: u64, body: Body) -> Vec<u8> {
     let mut bytes = vec![0; 8];
     bytes.extend(id.to_be_bytes());
-    Record { id: bytes, body: Some(body) }.encode_to_vec()
+    Record { id: bytes, body: Some(body), generation: 0 }.encode_to_vec()
 }
 
 /// Publishes, or retires, the template of a service with one slot.
--- a/acaciaring_testing/src/log/store.rs
+++ b/acaciaring_testing/src/log/store.rs
@@ -57,7 +57,7 @@
             left = left.saturating_sub(record.len());
             entries.push(record.clone());
         }
-        Batch { oldest: self.oldest, next: self.next(), start, entries }
+        Batch { oldest: self.oldest, next: self.next(), start, entries, generation: 0 }
     }
 }
 
--- a/acaciaringd/examples/hop.rs
+++ b/acaciaringd/examples/hop.rs
@@ -133,6 +133,7 @@
         declared: 0,
         age: 0,
         evacuation: 0,
+        ..Renew::default()
     };
     Datagram { body: Some(datagram::Body::Renew(renew)) }
 }
--- a/acaciaringd/src/control/catch_up.rs
+++ b/acaciaringd/src/control/catch_up.rs
@@ -36,7 +36,7 @@
     /// Guards against a stalled read of the log: records would be folded only after its timeout.
     /// Records carry their offsets, so a gap is detected and never skipped.
     pub(super) fn catch_up(&mut self, now: Time, from: SocketAddr, applied: Offset) {
-        let next = self.state.next();
+        let next = self.replica.position();
         let grace = LOG_GRACE + self.context.read_scheduler.interval();
         let quiet = now.since(self.progress.last_folded) >= grace
             && now.since(self.progress.last_queried) >= LOG_GRACE;
--- a/acaciaringd/src/control/eviction/tests.rs
+++ b/acaciaringd/src/control/eviction/tests.rs
@@ -29,7 +29,7 @@
     for (offset, vm) in (1..).zip(["vm-1", "vm-2", "vm-1"]) {
         let join = Join { vm: vm.into(), peer: format!("{vm}:7000"), ..Join::default() };
         let id = u128::from(offset).to_le_bytes().to_vec();
-        let record = Record { id, body: Some(record::Body::Join(join)) };
+        let record = Record { id, body: Some(record::Body::Join(join)), generation: 0 };
         assert!(state.fold(offset, &record.encode_to_vec()).applied());
     }
     let successor = |me, member| {
--- a/acaciaringd/src/control/feed.rs
+++ b/acaciaringd/src/control/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use acaciaring_core::fanout::{Fanout, ReadMode};
-use acaciaring_core::{MemberId, Offset, Time};
+use acaciaring_core::{Generation, MemberId, Offset, Time};
 use acaciaring_schema::log::{Batch, Record};
 use acaciaring_schema::peer::{Feed, call};
 use prost::Message;
@@ -32,7 +32,9 @@
         let leased = self.identity.as_ref().is_some_and(|identity| identity.holder.holds(now));
         let max_age = self.fanout.max_age(self.context.lease.interval);
         let stale = self.freshness.is_stale(now, max_age);
-        let mode = self.fanout.mode(leased, stale);
+        // Until a generation of the log has begun there is nothing to pass on.
+        let open = self.replica.is_open();
+        let mode = if open { self.fanout.mode(leased, stale) } else { ReadMode::Paced };
         if mode == self.read_mode {
             return;
         }
@@ -51,9 +53,10 @@
         let next = self.replica.position();
         let start = next.saturating_sub(entries.len() as u64);
         let known = self.context.declarations.known();
+        let generation = self.replica.generation().0;
         let feed = Feed {
             member: identity.me.0,
-            records: Some(Batch { oldest: start, next, start, entries }),
+            records: Some(Batch { oldest: start, next, start, entries, generation }),
             declared: known.config,
             age: self.log_age(now),
             evacuation: known.evacuation,
@@ -74,8 +77,14 @@
         };
         let known = KnownVersions { config: feed.declared, evacuation: feed.evacuation };
         self.fetch_declaration(now, from, known);
+        if let Some(batch) = &feed.records {
+            self.hear_generation(now, from, Generation(batch.generation));
+        }
         let position = self.replica.position();
         let Some(batch) = feed.records.filter(|_| self.progress.caught_up) else { return };
+        if batch.generation != self.replica.generation().0 {
+            return debug!(%member, "records passed on are of an earlier generation of the log");
+        }
         if batch.next < position {
             debug!(%member, position, next = batch.next, "records passed on are already folded");
             return;
@@ -101,9 +110,10 @@
 
     /// Records that this member's copy was complete when the log service answered a read, if all
     /// records up to the end at that time are folded.
-    pub(super) fn observe_read(&mut self, origin: Origin, end: Offset) {
+    pub(super) fn observe_read(&mut self, origin: Origin, batch: &Batch) {
         if let Origin::Service(at) = origin
-            && end <= self.state.next().max(1)
+            && batch.generation == self.state.generation().0
+            && batch.next <= self.state.next().max(1)
         {
             self.freshness.observe(at);
         }
--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -3,8 +3,8 @@
 use std::mem;
 use std::sync::Arc;
 
-use acaciaring_core::Time;
-use acaciaring_core::state::{Folded, ReplicaError};
+use acaciaring_core::state::{Folded, ReplicaError, State};
+use acaciaring_core::{Generation, Time};
 use acaciaring_schema::log::{Batch, Record, record};
 use prost::Message;
 use tracing::{Level, debug, enabled, error, info};
@@ -22,6 +22,8 @@
     pub(super) last_queried: Time,
     /// True once the log was folded to its end.
     pub(super) caught_up: bool,
+    /// True once the log was read to its end, even where its generation has not begun.
+    pub(super) at_end: bool,
     /// True while reads of the log service end before the position of this member.
     pub(super) regressed: bool,
 }
@@ -42,7 +44,16 @@
     }
 
     /// Folds a batch of records and settles own proposals among them.
+    ///
+    /// Records of an earlier generation of the log are of an answer that was held up.
     pub(super) fn on_batch(&mut self, now: Time, batch: &Batch) {
+        let generation = Generation(batch.generation);
+        self.observe_generation(now, generation);
+        if generation != self.replica.generation() {
+            let present = self.replica.generation();
+            debug!(%generation, %present, "ignoring records of an earlier generation of the log");
+            return;
+        }
         let before = self.replica.state().next();
         self.context.recent.keep(batch);
         match self.fold(batch) {
@@ -60,15 +71,20 @@
             Err(error) => error!(%error, "cannot fold log records"),
         }
         let state = self.replica.state();
-        let members = state.members().filter(|member| member.alive()).count();
+        let alive = |state: &State| state.members().filter(|member| member.alive()).count();
+        let members = alive(state).max(alive(&self.state));
         self.context.read_scheduler.folded(self.replica.position(), batch.next, members);
         // The first member of a new cluster finds an empty log and must not wait for a record.
-        self.progress.caught_up |= state.next().max(1) >= batch.next;
+        self.progress.at_end |= self.replica.position() >= batch.next;
+        self.progress.caught_up |= self.replica.is_open() && state.next().max(1) >= batch.next;
         if state.next() != before {
             self.progress.last_folded = now;
             let new = batch.entries.iter().zip(batch.start..).filter(|(_, at)| *at >= before);
             let new = new.map(|(entry, _)| entry.clone()).collect();
             let before = mem::replace(&mut self.state, Arc::new(state.clone()));
+            if before.generation() < self.state.generation() {
+                self.enter_generation(now, &before);
+            }
             self.on_folded(now);
             self.pass_on(now, new);
             self.track_moves(now, &before);
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -42,6 +42,7 @@
     pub(super) fn permits(&mut self, now: Time) -> Permits {
         let mut permits = Permits::new();
         let state = Arc::clone(&self.state);
+        let settles = self.settles();
         let Some(identity) = &mut self.identity else { return permits };
         let me = identity.me;
         let live = identity.live(now, &state);
@@ -51,7 +52,7 @@
                     continue;
                 }
                 let right = identity.right(now, &live, &service.workspace, unit, assignment);
-                if let Some(permit) = permit(right) {
+                if let Some(permit) = permit(right, settles) {
                     permits.entry(Arc::clone(&service.workspace)).or_default().insert(unit, permit);
                 }
             }
@@ -242,10 +243,11 @@
     }
 }
 
-fn permit(right: Right) -> Option<Permit> {
+fn permit(right: Right, settles: Time) -> Option<Permit> {
     match right {
         Right::Serve { token, version, .. } => Some(Permit::Serve { token, version }),
         Right::Wait => Some(Permit::Wait),
+        Right::Withheld => Some(Permit::Withheld { until: settles }),
         Right::Elsewhere { .. } => None,
     }
 }
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use acaciaring_core::lease::{Renewal, Vote};
+use acaciaring_core::lease::{self, Renewal, Vote};
 use acaciaring_core::state::{Phase, Service, State};
-use acaciaring_core::{MemberId, Time};
+use acaciaring_core::{Generation, MemberId, Time};
 use acaciaring_schema::peer::{Datagram, Grant, Renew, call, datagram};
 use acaciaring_schema::{log, peer};
 use tracing::{info, warn};
@@ -64,6 +64,8 @@
             declared: known.config,
             age: self.log_age(now),
             evacuation: known.evacuation,
+            generation: self.state.generation().0,
+            newest: self.replica.generation().0,
         };
         let datagram = Datagram { body: Some(datagram::Body::Renew(renew)) };
         self.context.transport.send(to, &datagram, renewal.reconnect);
@@ -99,6 +101,8 @@
         match datagram.body {
             Some(datagram::Body::Renew(renew)) => self.on_renew(now, from, &renew),
             Some(datagram::Body::Grant(grant)) => {
+                self.hear_generation(now, from, Generation(grant.newest));
+                self.observe_position(Generation(grant.generation), grant.applied);
                 self.catch_up(now, from, grant.applied);
                 let known = KnownVersions { config: grant.declared, evacuation: grant.evacuation };
                 self.fetch_declaration(now, from, known);
@@ -111,19 +115,26 @@
     }
 
     fn on_renew(&mut self, now: Time, from: SocketAddr, renew: &Renew) {
+        self.hear_generation(now, from, Generation(renew.newest));
+        self.observe_position(Generation(renew.generation), renew.applied);
         self.catch_up(now, from, renew.applied);
         let known = KnownVersions { config: renew.declared, evacuation: renew.evacuation };
         self.fetch_declaration(now, from, known);
         self.observe_age(now, renew.applied, renew.age);
         self.require_record(renew.version);
         let age = self.log_age(now);
+        let current = self.is_current(Generation(renew.generation), renew.applied);
         let Some(identity) = &mut self.identity else { return };
         if renew.lessor != identity.me.0 {
             return;
         }
         let abandoned = identity.holder.abandoned(now);
         let holder = MemberId(renew.holder);
-        let answer = identity.lessor.renew(now, holder, renew.version, abandoned);
+        let answer = if current {
+            identity.lessor.renew(now, holder, renew.version, abandoned)
+        } else {
+            lease::Grant { granted: false, version: renew.version }
+        };
         // A holder that only prepares this member as lessor must not be voted on by it.
         let known = self.state.member(holder).filter(|member| member.version == renew.version);
         if known.is_some_and(|member| !member.lessors.contains(&identity.me)) {
@@ -140,6 +151,8 @@
             declared: known.config,
             age,
             evacuation: known.evacuation,
+            generation: self.state.generation().0,
+            newest: self.replica.generation().0,
         };
         let datagram = Datagram { body: Some(datagram::Body::Grant(grant)) };
         self.context.transport.send(from, &datagram, false);
@@ -150,6 +163,10 @@
         if grant.holder != identity.me.0 {
             return;
         }
+        // Refused until this member has read how the generation began.
+        if !grant.granted && Generation(grant.generation) > self.state.generation() {
+            return self.context.read_scheduler.request_read();
+        }
         let lessor = MemberId(grant.lessor);
         identity.holder.handle_grant(now, lessor, grant.seq, grant.granted, grant.version);
         if !grant.granted {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod eviction;
 mod feed;
 mod fold;
+mod generation;
 mod grant_mode;
 mod handover;
 mod identity;
@@ -50,6 +51,7 @@
 pub(crate) use self::event::{Event, PublishReply};
 use self::eviction::EvictionReasons;
 use self::fold::Progress;
+use self::generation::GenerationProgress;
 use self::handover::Handover;
 use self::identity::Identity;
 use self::lease::Voting;
@@ -173,6 +175,8 @@
     balance: Balance,
     state: Arc<State>,
     progress: Progress,
+    /// Progress in the newest generation of the log.
+    generation: GenerationProgress,
     /// Part of this member in passing records on.
     fanout: Fanout,
     freshness: Freshness,
@@ -224,6 +228,7 @@
             balance: Balance::default(),
             state: Arc::default(),
             progress: Progress::default(),
+            generation: GenerationProgress::default(),
             fanout: Fanout::default(),
             freshness: Freshness::default(),
             read_mode: ReadMode::default(),
@@ -265,13 +270,14 @@
     fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Batch(batch, origin, done) => {
-                if self.replica.is_overtaken(&batch) {
+                let present = self.replica.generation().0 == batch.generation;
+                if present && self.replica.is_overtaken(&batch) {
                     self.report_regression(origin, &batch);
                 } else {
                     self.progress.regressed = false;
                     self.on_batch(now, &batch);
                 }
-                self.observe_read(origin, batch.next);
+                self.observe_read(origin, &batch);
                 // The reader thread may have ended.
                 let _ = done.send(());
             }
@@ -320,11 +326,14 @@
         self.find_identity();
         self.trust_members();
         self.update_members(now);
+        self.update_withheld(now);
         self.find_draining();
         self.update_fanout(now);
     }
 
     fn round(&mut self, now: Time) {
+        self.observe_generation(now, self.context.log.generation());
+        self.update_withheld(now);
         self.dirty |= self.upstream.is_stale(now);
         self.dirty |= self.upstream.takes_answers(now);
         self.dirty |= self.closed_for_restart(now) && !self.context.shared.view().closed;
@@ -336,10 +345,12 @@
         self.answer_heartbeat(now);
         if now.since(self.last_maintenance) >= MAINTENANCE_INTERVAL {
             self.last_maintenance = now;
-            self.context.metrics.gauge(Gauge::LogGeneration, self.context.log.generation());
+            self.context.metrics.gauge(Gauge::LogGeneration, self.replica.generation().0);
             self.volumes.record(now, self.context.transport.volumes());
             self.update_read_mode(now);
             self.proposals.expire(now);
+            self.open_generation(now);
+            self.settle(now);
             self.join(now);
             self.evict(now);
             self.propose_placement(now);
--- a/acaciaringd/src/control/proposal.rs
+++ b/acaciaringd/src/control/proposal.rs
@@ -3,8 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use acaciaring_core::state::Outcome;
-use acaciaring_core::{MemberId, Name, Offset, Time, UnitId};
+use acaciaring_core::state::{Outcome, State};
+use acaciaring_core::{Generation, MemberId, Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Record, record};
 use crossbeam_channel::Sender;
 use rand::Rng;
@@ -39,6 +39,7 @@
     Exit,
     Evict(MemberId),
     Publish(RecordId),
+    Settle,
 }
 
 /// An open proposal.
@@ -58,6 +59,8 @@
     appender: Appender,
     open: HashMap<RecordId, Proposal>,
     in_doubt: InDoubt,
+    /// Generation of the log in which the state that proposals build on was folded.
+    generation: Generation,
 }
 
 /// Abandoned records that may have been appended nevertheless, oldest first.
@@ -66,7 +69,26 @@
 
 impl Proposals {
     pub(crate) fn new(appender: Appender) -> Self {
-        Self { appender, open: HashMap::new(), in_doubt: InDoubt::default() }
+        let generation = Generation::default();
+        Self { appender, open: HashMap::new(), in_doubt: InDoubt::default(), generation }
+    }
+
+    /// Sets the generation of the log that further proposals name.
+    pub(crate) fn set_generation(&mut self, generation: Generation) {
+        self.generation = generation;
+    }
+
+    /// Returns true if the state includes the record of an open proposal.
+    pub(crate) fn any_recent(&self, state: &State) -> bool {
+        self.open.keys().any(|id| state.is_recent(id))
+    }
+
+    /// Ends all proposals, which have no effect in a later generation of the log, and returns them.
+    pub(crate) fn take_open(&mut self) -> Vec<(RecordId, Proposal)> {
+        for id in self.open.keys() {
+            self.appender.settle(id);
+        }
+        self.open.drain().collect()
     }
 
     /// Returns true while a proposal for the purpose is open.
@@ -101,7 +123,8 @@
         if self.pending(&proposal.purpose) {
             return false;
         }
-        let record = Record { id: id.to_vec(), body: Some(body) };
+        let generation = self.generation.0;
+        let record = Record { id: id.to_vec(), body: Some(body), generation };
         if !self.appender.propose(id, record) {
             return false;
         }
@@ -125,8 +148,9 @@
         renounced.iter().filter(free).cloned().collect()
     }
 
-    /// Appends a record without tracking its outcome.
-    pub(crate) fn append(&self, record: Record) {
+    /// Appends a record of a generation without tracking its outcome.
+    pub(crate) fn append(&self, generation: Generation, record: Record) {
+        let record = Record { generation: generation.0, ..record };
         if let Ok(id) = RecordId::try_from(record.id.as_slice()) {
             self.appender.propose(id, record);
         }
--- a/acaciaringd/src/control/proposal/tests.rs
+++ b/acaciaringd/src/control/proposal/tests.rs
@@ -21,7 +21,7 @@
         Err(AppendError::Unknown { cause: "unreachable".to_owned() })
     }
 
-    fn read(&self, _: Offset, _: usize, _: Duration) -> Result<Batch, ReadError> {
+    fn read(&self, _: Generation, _: Offset, _: usize, _: Duration) -> Result<Batch, ReadError> {
         Err(ReadError::Unavailable { cause: "unreachable".to_owned() })
     }
 }
--- a/acaciaringd/src/control/snapshot.rs
+++ b/acaciaringd/src/control/snapshot.rs
@@ -61,14 +61,18 @@
             return;
         }
         let log = Arc::clone(&self.context.log);
+        let generation = self.state.generation();
         // Blocks on the log service, which the control thread must never do.
-        self.context.transport.runtime().spawn_blocking(move || log.trim(covered));
+        self.context.transport.runtime().spawn_blocking(move || log.trim(generation, covered));
     }
 
     /// Writes a snapshot when one is due for the rank of this member.
     pub(super) fn snapshot(&mut self, now: Time) {
         let Some(identity) = &self.identity else { return };
         let Some(rank) = self.state.snapshot_rank(identity.me) else { return };
+        if !self.replica.is_open() {
+            return;
+        }
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let newest = self.replica.snapshot_next();
         if newest != self.snapshots.covered {
@@ -93,7 +97,7 @@
         info!(next = self.state.next(), records = chunks.len(), "writing a snapshot");
         self.context.metrics.count(Counter::LogSnapshots, 1);
         for record in chunks {
-            self.proposals.append(record);
+            self.proposals.append(self.state.generation(), record);
         }
     }
 }
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -257,6 +257,9 @@
                     let member = view.me.ok_or(Refusal::not_run(Reason::NoLease))?;
                     return Ok((Grant { member, unit, token, version }, guard));
                 }
+                Some(Permit::Withheld { until }) => {
+                    return Err(Refusal::not_run(Reason::NoLease).after(until.since(now)));
+                }
                 Some(Permit::Serve { .. } | Permit::Wait) => {}
             }
             drop(guard);
--- a/acaciaringd/src/platform/mod.rs
+++ b/acaciaringd/src/platform/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use acaciaring_core::Offset;
+use acaciaring_core::{Generation, Offset};
 use acaciaring_schema::log::{Appended, Batch};
 use prost::Message;
 use snafu::Snafu;
@@ -93,24 +93,33 @@
     /// `Refused` if the record was certainly not appended, otherwise `Unknown`.
     fn append(&self, record: &[u8]) -> Result<Offset, AppendError>;
 
-    /// Reads at most `max` records from offset `from`; waits at most `wait` for the first.
+    /// Reads at most `max` records of a generation from offset `from`; waits at most `wait` for the
+    /// first.
+    ///
+    /// Where the log is in a later generation, the batch names that one and has no records.
     ///
     /// # Errors
     ///
     /// Fails without a valid response; a read is safe to retry.
-    fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Batch, ReadError>;
+    fn read(
+        &self,
+        generation: Generation,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Batch, ReadError>;
 
-    /// Drops the records below an offset that a snapshot covers.
+    /// Drops the records of a generation below an offset that a snapshot covers.
     ///
     /// Does nothing by default, for services that drop old records by themselves.
-    fn trim(&self, _before: Offset) {}
+    fn trim(&self, _generation: Generation, _before: Offset) {}
 
     /// Returns the highest generation of the log that the service has named.
     ///
     /// It rises each time that the service loses records that it had confirmed. It is 0 by default,
     /// for services that never do.
-    fn generation(&self) -> u64 {
-        0
+    fn generation(&self) -> Generation {
+        Generation::default()
     }
 }
 
@@ -119,7 +128,13 @@
         Self::append(self, record)
     }
 
-    fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Batch, ReadError> {
+    fn read(
+        &self,
+        _generation: Generation,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Batch, ReadError> {
         Self::read(self, from, max, wait)
     }
 }
--- a/acaciaringd/src/read_scheduler.rs
+++ b/acaciaringd/src/read_scheduler.rs
@@ -4,7 +4,7 @@
 
 use acaciaring_core::fanout::ReadMode;
 use acaciaring_core::pace::ReadPacer;
-use acaciaring_core::{Offset, Time};
+use acaciaring_core::{Generation, Offset, Time};
 use parking_lot::{Condvar, Mutex};
 
 use crate::clock;
@@ -24,19 +24,25 @@
         Self { pace: Mutex::new(ReadPacer::new()), changed: Condvar::new(), rate }
     }
 
-    /// Waits until the next read is due; returns the offset that it starts at.
-    pub(crate) fn wait(&self) -> Offset {
+    /// Waits until the next read is due; returns the generation and the offset that it starts at.
+    pub(crate) fn wait(&self) -> (Generation, Offset) {
         let mut pace = self.pace.lock();
         loop {
             let left = pace.remaining(clock::now());
             if left.is_zero() {
                 pace.begin();
-                return pace.next();
+                return (pace.generation(), pace.next());
             }
             self.changed.wait_for(&mut pace, left);
         }
     }
 
+    /// Starts at the first record of a generation of the log.
+    pub(crate) fn restart(&self, generation: Generation) {
+        self.pace.lock().restart(generation);
+        self.changed.notify_all();
+    }
+
     /// Records that the log service has answered a read.
     pub(crate) fn answered(&self, now: Time) {
         self.pace.lock().answered(now);
--- a/acaciaringd/src/reader.rs
+++ b/acaciaringd/src/reader.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use acaciaring_core::Time;
+use acaciaring_core::{Generation, Offset, Time};
 use acaciaring_schema::log::Batch;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use tracing::{info, warn};
@@ -82,8 +82,8 @@
 impl Reader {
     fn run(mut self) {
         loop {
-            let from = self.read_scheduler.wait();
-            let Some((batch, origin)) = self.read(from) else {
+            let (generation, from) = self.read_scheduler.wait();
+            let Some((batch, origin)) = self.read(generation, from) else {
                 thread::sleep(self.backoff.pause());
                 continue;
             };
@@ -98,10 +98,10 @@
     }
 
     /// Reads from the log service, else from another member.
-    fn read(&mut self, from: u64) -> Option<(Batch, Origin)> {
+    fn read(&mut self, generation: Generation, from: Offset) -> Option<(Batch, Origin)> {
         // The first read must not block: the start would be delayed until there is a new record.
         let wait = if self.has_read { self.polls.next_log_read() } else { Duration::ZERO };
-        match self.log.read(from, READ_LIMIT, wait) {
+        match self.log.read(generation, from, READ_LIMIT, wait) {
             Ok(batch) => {
                 self.has_read = true;
                 self.backoff.reset();
--- a/acaciaringd/src/reader/tests.rs
+++ b/acaciaringd/src/reader/tests.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use acaciaring_core::Offset;
 use crossbeam_channel::unbounded;
 
 use super::*;
@@ -23,7 +22,13 @@
         Err(AppendError::Refused { cause: "read only".into() })
     }
 
-    fn read(&self, from: Offset, _max: usize, wait: Duration) -> Result<Batch, ReadError> {
+    fn read(
+        &self,
+        _generation: Generation,
+        from: Offset,
+        _max: usize,
+        wait: Duration,
+    ) -> Result<Batch, ReadError> {
         if self.fails.load(Ordering::SeqCst) {
             return Err(ReadError::Unavailable { cause: "cut off".into() });
         }
@@ -31,11 +36,11 @@
         Ok(batch(from))
     }
 
-    fn trim(&self, _before: Offset) {}
+    fn trim(&self, _generation: Generation, _before: Offset) {}
 }
 
 fn batch(from: Offset) -> Batch {
-    Batch { oldest: 1, next: from + 1, start: from, entries: vec![Vec::new()] }
+    Batch { oldest: 1, next: from + 1, start: from, entries: vec![Vec::new()], generation: 0 }
 }
 
 /// Returns the origin of the next batch.
--- a/acaciaringd/src/recent_records.rs
+++ b/acaciaringd/src/recent_records.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use acaciaring_core::Generation;
 use acaciaring_schema::log::Batch;
 use parking_lot::Mutex;
 
@@ -16,6 +17,7 @@
 
 #[derive(Debug, Default)]
 struct Records {
+    generation: Generation,
     start: u64,
     entries: VecDeque<Vec<u8>>,
 }
@@ -24,6 +26,7 @@
     /// Adds the records of a folded batch.
     pub(crate) fn keep(&self, batch: &Batch) {
         let mut records = self.records.lock();
+        records.generation = Generation(batch.generation);
         for (offset, entry) in (batch.start..).zip(&batch.entries) {
             records.push(offset, entry);
         }
@@ -32,11 +35,21 @@
     /// Returns at most `max` records from offset `from`, none if that offset is not cached.
     ///
     /// A batch never starts later than requested: the reader must not mistake a gap for the end of
-    /// the log.
+    /// the log. A reader of a later generation that has read nothing gets all, as it only looks for
+    /// the snapshot with which that begins.
     pub(crate) fn read(&self, from: u64, max: u32) -> Batch {
         let records = self.records.lock();
         let next = records.start + records.entries.len() as u64;
-        let mut batch = Batch { oldest: records.start, next, start: from, entries: Vec::new() };
+        let generation = records.generation;
+        let seeks = generation > Generation::default() && from == generation.first();
+        let from = if seeks { from.max(records.start) } else { from };
+        let mut batch = Batch {
+            oldest: records.start,
+            next,
+            start: from,
+            entries: Vec::new(),
+            generation: generation.0,
+        };
         let Some(skip) =
             from.checked_sub(records.start).and_then(|skip| usize::try_from(skip).ok())
         else {
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -57,6 +57,11 @@
     },
     /// This member will serve the unit soon; requests wait.
     Wait,
+    /// This member will serve the unit from this time on; requests are refused.
+    Withheld {
+        /// When it will.
+        until: Time,
+    },
 }
 
 /// Permits of this member by workspace and unit.
--- a/acaciaringd/tests/platform.rs
+++ b/acaciaringd/tests/platform.rs
@@ -51,7 +51,8 @@
 
 #[test]
 fn read_returns_a_whole_batch_or_fails() {
-    let batch = Batch { oldest: 1, next: 9, start: 8, entries: vec![b"record".to_vec()] };
+    let batch =
+        Batch { oldest: 1, next: 9, start: 8, entries: vec![b"record".to_vec()], generation: 0 };
     let whole = answer(200, &batch.encode_to_vec());
     let read = client(whole.clone(), false).read(8, 10, Duration::ZERO);
     assert_eq!(read.expect("batch"), batch);
