Begin to serve nothing between the news of a generation and its beginning

Found by a search of the model: a member that has heard of a generation of the log, but not read how it begins, could take a slot over by votes under a token of the former one, after another member had served it under one of the new. Such a member now begins to serve only what it is released, and votes name the generation, so that whoever may take over has heard of it.

The model of generations covers a copy, its return, members that live through it or learn of it late, records that are appended late, and losses of leases. It finds a counterexample for each of six guards that is taken out.

--- a/acaciaring_core/examples/fold_cost.rs
+++ b/acaciaring_core/examples/fold_cost.rs
@@ -196,7 +196,7 @@
         self.improve_lessors(id);
         let member = self.state.members().find(|member| member.id.0 == id).expect("known");
         let version = member.version;
-        let vote = |lessor: u64| Vote { lessor, member: id, version };
+        let vote = |lessor: u64| Vote { lessor, member: id, version, newest: 0 };
         let votes = member.lessors.iter().map(|lessor| vote(lessor.0)).collect();
         self.fold(Body::Evict(Evict { member: id, version, votes, ..Evict::default() }))
     }
--- a/acaciaring_core/tests/fold/members.rs
+++ b/acaciaring_core/tests/fold/members.rs
@@ -91,7 +91,7 @@
     let first = log.join(0);
     let other = log.join(1);
     let version = log.state.member(first).expect("known").version;
-    let vote = Vote { lessor: other.0, member: first.0, version };
+    let vote = Vote { lessor: other.0, member: first.0, version, newest: 0 };
     let evict = Evict { member: first.0, version, votes: vec![vote], ..Evict::default() };
     assert_eq!(log.rejected(Body::Evict(evict.clone())), Rejection::Votes);
     log.applied(Body::Evict(Evict { votes: Vec::new(), ..evict }));
@@ -180,7 +180,8 @@
     let base = log.state.member(ids[7]).expect("known").version;
     let version = log.applied(lessors(ids[7], base, &ids[0..3]));
     assert_eq!(log.rejected(old), Rejection::Conflict { current: version });
-    let vote = |lessor: MemberId, version| Vote { lessor: lessor.0, member: ids[7].0, version };
+    let vote =
+        |lessor: MemberId, version| Vote { lessor: lessor.0, member: ids[7].0, version, newest: 0 };
     let evict = |votes: &[Vote], lapsed: &[MemberId]| {
         let lapsed = lapsed.iter().map(|id| id.0).collect();
         Body::Evict(Evict {
--- a/acaciaring_core/tests/fold/support.rs
+++ b/acaciaring_core/tests/fold/support.rs
@@ -107,6 +107,7 @@
             lessor: lessor.0,
             member: member.id.0,
             version: member.version,
+            newest: 0,
         };
         let votes = member.lessors.iter().map(vote).collect();
         Body::Evict(Evict {
--- a/acaciaring_core/tests/ownership_schedule.rs
+++ b/acaciaring_core/tests/ownership_schedule.rs
@@ -807,6 +807,7 @@
             lessor: lessor.0,
             member: subject.0,
             version: member.version,
+            newest: 0,
         };
         let votes = member.lessors.iter().map(vote).collect();
         let evict = Evict { member: subject.0, version: member.version, votes, ..Evict::default() };
--- a/acaciaring_core/tests/support/cluster.rs
+++ b/acaciaring_core/tests/support/cluster.rs
@@ -193,7 +193,7 @@
     pub fn evict(&self, id: MemberId) -> Body {
         let member = self.state.member(id).expect("known");
         let version = member.version;
-        let vote = |lessor: &MemberId| Vote { lessor: lessor.0, member: id.0, version };
+        let vote = |lessor: &MemberId| Vote { lessor: lessor.0, member: id.0, version, newest: 0 };
         let votes = member.lessors.iter().map(vote).collect();
         Body::Evict(Evict { member: id.0, version, votes, ..Evict::default() })
     }
--- a/acaciaring_model/src/lib.rs
+++ b/acaciaring_model/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Mutation`]; the search then has to find a counterexample.
 
 pub mod config;
+pub mod generations;
 pub mod interner;
 pub mod lease;
 mod mutation;
--- a/acaciaring_model/src/mutation.rs
+++ b/acaciaring_model/src/mutation.rs
@@ -59,4 +59,16 @@
     GrantPastLease,
     /// An order may be written, and arrive, after its deadline.
     WriteAfterDeadline,
+    /// A member goes on with a state whose last records the log has lost.
+    LostStateContinued,
+    /// Members begin to serve before a generation of the log has settled.
+    ServeUnsettled,
+    /// A member that has heard of a generation begins to serve before it has read how that begins.
+    ServeUnread,
+    /// Votes do not name the generation of the log that their lessors have heard of.
+    VoteWithoutGeneration,
+    /// Tokens after the beginning of a generation derive from earlier offsets alone.
+    TokenWithoutFloor,
+    /// A record of an earlier generation has effect.
+    LateRecordApplies,
 }
--- a/acaciaring_model/src/records.rs
+++ b/acaciaring_model/src/records.rs
@@ -1,6 +1,6 @@
 //! Builders of log records for the models.
 
-use acaciaring_core::{MemberId, Offset};
+use acaciaring_core::{Generation, MemberId, Offset};
 use acaciaring_schema::log::record::Body;
 use acaciaring_schema::log::{
     Assign, Attach, DocumentKind, Evict, Field, Handoff, Join, Leave, Lessors, Publish, Record,
@@ -16,9 +16,15 @@
 /// Encodes a record, with its id derived from a number.
 #[must_use]
 pub fn record(id: u64, body: Body) -> Vec<u8> {
+    record_in(Generation::default(), id, body)
+}
+
+/// Encodes a record of a generation of the log.
+#[must_use]
+pub fn record_in(generation: Generation, id: u64, body: Body) -> Vec<u8> {
     let mut bytes = vec![0; 8];
     bytes.extend(id.to_be_bytes());
-    Record { id: bytes, body: Some(body), generation: 0 }.encode_to_vec()
+    Record { id: bytes, body: Some(body), generation: generation.0 }.encode_to_vec()
 }
 
 /// Publishes, or retires, the template of a service with one slot.
@@ -147,7 +153,7 @@
 /// Evicts a member whose lease has expired, with votes of these lessors.
 #[must_use]
 pub fn evict(member: MemberId, version: Offset, lessors: &[MemberId]) -> Body {
-    let vote = |lessor: &MemberId| Vote { lessor: lessor.0, member: member.0, version };
+    let vote = |lessor: &MemberId| Vote { lessor: lessor.0, member: member.0, version, newest: 0 };
     let votes = lessors.iter().map(vote).collect();
     Body::Evict(Evict { member: member.0, version, votes, ..Evict::default() })
 }
--- a/acaciaring_model/src/takeover/fold.rs
+++ b/acaciaring_model/src/takeover/fold.rs
@@ -83,7 +83,7 @@
 }
 
 /// Returns the base state: the first member owns the slot, the second one is the standby.
-pub(super) fn base() -> State {
+pub(crate) fn base() -> State {
     let [first, second, third] = MEMBERS;
     let bodies = [
         records::template(0, false),
--- a/acaciaring_model/src/takeover/mod.rs
+++ b/acaciaring_model/src/takeover/mod.rs
@@ -14,7 +14,8 @@
 use acaciaring_core::state::{Assignment, State};
 use acaciaring_core::{MemberId, Name, Time};
 
-use self::fold::{Fold, base};
+use self::fold::Fold;
+pub(crate) use self::fold::base;
 pub use self::state::{Action, Kind, Process, Proposal, Release, TakeoverState};
 use crate::interner::{Handle, Interner};
 use crate::mutation::Mutation;
@@ -180,7 +181,7 @@
 }
 
 /// Returns the lease holder of a member, with a valid lease.
-fn leased(me: MemberId) -> Holder {
+pub(crate) fn leased(me: MemberId) -> Holder {
     let mut holder = Holder::new(me, Time::ZERO, LeaseSettings::default());
     holder.install(me.0, &[MemberId(1)], |_| true);
     for renewal in holder.due(Time::ZERO) {
@@ -190,7 +191,7 @@
 }
 
 /// Adds a value to a sorted list without duplicates.
-fn insert_sorted<T: Ord>(list: &mut Vec<T>, value: T) {
+pub(crate) fn insert_sorted<T: Ord>(list: &mut Vec<T>, value: T) {
     if let Err(index) = list.binary_search(&value) {
         list.insert(index, value);
     }
--- a/acaciaringd/src/control/eviction.rs
+++ b/acaciaringd/src/control/eviction.rs
@@ -152,8 +152,12 @@
 }
 
 fn eviction(member: &Member, proof: &Proof) -> Evict {
-    let vote =
-        |lessor: &MemberId| Vote { lessor: lessor.0, member: member.id.0, version: proof.version };
+    let vote = |lessor: &MemberId| Vote {
+        lessor: lessor.0,
+        member: member.id.0,
+        version: proof.version,
+        newest: 0,
+    };
     Evict {
         member: member.id.0,
         version: proof.version,
--- a/acaciaringd/src/control/generation.rs
+++ b/acaciaringd/src/control/generation.rs
@@ -169,7 +169,7 @@
 
     /// Updates what this member's rights depend on in the present generation.
     pub(super) fn update_withheld(&mut self, now: Time) {
-        let withheld = self.is_settling(now);
+        let withheld = self.begins_nothing(now);
         let floor = self.state.floor();
         if let Some(identity) = &mut self.identity {
             identity.rights.begin_generation(floor);
@@ -178,12 +178,18 @@
     }
 
     /// Returns the time until which this member begins to serve nothing new.
-    pub(super) fn settles(&self) -> Time {
-        self.generation.settles
+    ///
+    /// Before it has read how a generation begins, that time is not known.
+    pub(super) fn settles(&self, now: Time) -> Time {
+        self.generation.settles.max(now + RANK_DELAY)
     }
 
-    fn is_settling(&self, now: Time) -> bool {
-        self.state.settling() && now < self.generation.settles
+    /// Returns true while this member begins to serve nothing but what it is released.
+    ///
+    /// Others may have served under tokens of a generation that it has not read, which are above
+    /// those that it knows.
+    fn begins_nothing(&self, now: Time) -> bool {
+        !self.replica.is_open() || (self.state.settling() && now < self.generation.settles)
     }
 
     /// Proposes the end of the time in which members begin to serve nothing new.
--- a/acaciaringd/src/control/handover.rs
+++ b/acaciaringd/src/control/handover.rs
@@ -42,7 +42,7 @@
     pub(super) fn permits(&mut self, now: Time) -> Permits {
         let mut permits = Permits::new();
         let state = Arc::clone(&self.state);
-        let settles = self.settles();
+        let settles = self.settles(now);
         let Some(identity) = &mut self.identity else { return permits };
         let me = identity.me;
         let live = identity.live(now, &state);
--- a/acaciaringd/src/control/lease.rs
+++ b/acaciaringd/src/control/lease.rs
@@ -252,8 +252,12 @@
     /// Sends a vote to all members that may act on it: lessors, next owners and standbys.
     fn send_vote(&self, vote: Vote) {
         let Some(identity) = &self.identity else { return };
-        let message =
-            log::Vote { lessor: identity.me.0, member: vote.member.0, version: vote.version };
+        let message = log::Vote {
+            lessor: identity.me.0,
+            member: vote.member.0,
+            version: vote.version,
+            newest: self.replica.generation().0,
+        };
         for member in vote_recipients(&self.state, vote.member) {
             let address = self.state.member(member).and_then(peer_address);
             if let Some(to) = address.filter(|_| member != identity.me) {
@@ -264,7 +268,11 @@
     }
 
     /// Handles a vote of another lessor.
-    pub(super) fn on_vote(&mut self, vote: log::Vote) {
+    ///
+    /// It names the generation of the log that its lessor has heard of: this member may be the next
+    /// one to serve, and must then serve by what that generation says.
+    pub(super) fn on_vote(&mut self, now: Time, vote: log::Vote) {
+        self.observe_generation(now, Generation(vote.newest));
         self.require_record(vote.version);
         let Some(identity) = &mut self.identity else { return };
         if vote.member == identity.me.0 {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -286,7 +286,7 @@
             Event::Relayed(batch) => self.on_batch(now, &batch),
             Event::Feed(feed) => self.on_feed(now, feed),
             Event::Datagram(from, datagram) => self.on_datagram(now, from, datagram),
-            Event::Vote(vote) => self.on_vote(vote),
+            Event::Vote(vote) => self.on_vote(now, vote),
             Event::Released(release) => self.on_release(&release),
             Event::ReleaseDone { workspace, units } => self.on_release_done(&workspace, &units),
             Event::SyncDone { workspace, units, standby } => {
