Read a generation from its first record, and keep known evacuations in any copy

A reader that seeks how a generation of the log begins got a batch with an entry for each position since the first one, of what has no effect; at a log of some million records that is more memory than a member has. It now begins with the first record that names the generation (a test of the batch; found by reading).

Evacuations that another member tells are kept over generations as those that are read.

--- a/acaciaring_core/src/evacuation.rs
+++ b/acaciaring_core/src/evacuation.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::id::{Name, Offset};
+use crate::id::{Generation, Name, Offset};
 
 /// Evacuated data centres, as of an offset of their source.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -65,21 +65,19 @@
         newer
     }
 
-    /// Continues in a later generation of the source; returns true if `other` is of one.
-    ///
-    /// What was evacuated stays so until the source says that it ended: operators declare again what
-    /// the source has lost, and upstreams must not be used until then.
-    pub fn reopen(&mut self, mut other: Self) -> bool {
-        other.centres.extend(self.centres.iter().cloned());
-        self.replace(other)
-    }
-
     /// Replaces this state by one that covers more of the source; returns true if it does.
-    pub fn replace(&mut self, other: Self) -> bool {
-        let newer = other.version > self.version;
-        if newer {
-            *self = other;
+    ///
+    /// In a later generation of the source, what was evacuated stays so until the source says that
+    /// it ended: operators declare again what the source has lost, and upstreams must not be used
+    /// until then.
+    pub fn replace(&mut self, mut other: Self) -> bool {
+        if other.version <= self.version {
+            return false;
         }
-        newer
+        if Generation::containing(other.version) > Generation::containing(self.version) {
+            other.centres.extend(self.centres.iter().cloned());
+        }
+        *self = other;
+        true
     }
 }
--- a/acaciaring_core/src/id.rs
+++ b/acaciaring_core/src/id.rs
@@ -44,6 +44,12 @@
         offset.saturating_sub(self.0.saturating_mul(GENERATION_STRIDE))
     }
 
+    /// Returns the generation of an offset of a source that has fewer positions than the stride.
+    #[must_use]
+    pub(crate) const fn containing(offset: Offset) -> Self {
+        Self(offset / GENERATION_STRIDE)
+    }
+
     /// Returns the offset of the first position.
     #[must_use]
     pub const fn first(self) -> Offset {
--- a/acaciaring_core/tests/evacuation.rs
+++ b/acaciaring_core/tests/evacuation.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use acaciaring_core::Name;
 use acaciaring_core::evacuation::Evacuations;
+use acaciaring_core::{Generation, Name};
 use proptest::prelude::{Strategy, any, proptest};
 use proptest::{collection, prop_assert_eq};
 
@@ -89,3 +89,19 @@
     assert!(!state.replace(Evacuations::new(8, [north])));
     assert!(!state.contains("north"));
 }
+
+/// Guards against requests to an evacuated data centre because its source came back from an older
+/// copy, which lacks the record.
+#[test]
+fn what_was_evacuated_stays_so_in_a_later_generation() {
+    let [first, second] = [Generation(0), Generation(1)];
+    let [welkom, kroonstad] = ["welkom", "kroonstad"].map(Name::from);
+    let mut known = Evacuations::new(first.offset(9), [Name::clone(&welkom)]);
+    assert!(known.replace(Evacuations::new(second.offset(4), [Name::clone(&kroonstad)])));
+    assert!(known.contains("welkom") && known.contains("kroonstad"));
+    assert!(!known.replace(Evacuations::new(first.offset(20), [])), "of the former copy");
+    assert!(known.apply(second.offset(5), &welkom, false), "declared again, and ended");
+    assert!(!known.contains("welkom"));
+    assert!(known.replace(Evacuations::new(second.offset(9), [])), "of the same generation");
+    assert!(!known.contains("kroonstad"));
+}
--- a/acaciaringd/src/control/fold.rs
+++ b/acaciaringd/src/control/fold.rs
@@ -92,7 +92,13 @@
     }
 
     /// Folds a batch; each `Assign` is folded separately, to find units with a first owner.
+    ///
+    /// Of a generation of the log that has not begun, a batch is read as a whole: a snapshot at its end
+    /// may cover how the generation began.
     fn fold(&mut self, batch: &Batch) -> Result<Vec<Folded>, ReplicaError> {
+        if !self.replica.is_open() {
+            return self.replica.apply_batch(batch);
+        }
         let mut folded = Vec::new();
         let mut rest = batch.clone();
         while let Some(index) = rest.entries.iter().position(|entry| is_assign(entry)) {
--- a/acaciaringd/src/control/generation.rs
+++ b/acaciaringd/src/control/generation.rs
@@ -7,8 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use acaciaring_core::fanout::Freshness;
 use acaciaring_core::state::snapshot::{self, CHUNK_SIZE};
-use acaciaring_core::state::{Folded, Opening, Outcome, Rejection, State};
+use acaciaring_core::state::{Folded, Opening, Outcome, Rejection, Replica, State};
 use acaciaring_core::{Generation, Offset, Time};
 use acaciaring_schema::log::{Settle, record};
 use rand::Rng;
@@ -54,12 +55,14 @@
             return;
         }
         let folded = self.state.next();
-        warn!(%former, %generation, folded, "the log has come back from an older copy");
-        self.replica = acaciaring_core::state::Replica::in_generation(generation);
+        if folded > 0 {
+            warn!(%former, %generation, folded, "the log has come back from an older copy");
+        }
+        self.replica = Replica::in_generation(generation);
         self.context.read_scheduler.restart(generation);
         self.snapshots = Snapshots::new(now);
         self.progress = Progress { last_folded: now, ..Progress::default() };
-        self.freshness = acaciaring_core::fanout::Freshness::default();
+        self.freshness = Freshness::default();
         self.generation.heard = now;
         self.generation.proposed = None;
         self.generation.jitter = rand::rng().random();
--- a/acaciaringd/src/declared.rs
+++ b/acaciaringd/src/declared.rs
@@ -171,24 +171,6 @@
         self.report_evacuations(&evacuations);
     }
 
-    /// Returns true if the evacuations are known, as of an offset before this one.
-    #[must_use]
-    pub fn knows_evacuations_before(&self, offset: Offset) -> bool {
-        (1..offset).contains(&self.evacuations.lock().version())
-    }
-
-    /// Installs the evacuations of a later generation of their source.
-    ///
-    /// What was evacuated stays so until the source says that it ended.
-    pub fn reopen_evacuations(&self, offered: Evacuations) {
-        let mut evacuations = self.evacuations.lock();
-        if evacuations.reopen(offered) {
-            let centres: Vec<&Name> = evacuations.centres().collect();
-            info!(?centres, "evacuated data centres after the source came back from an older copy");
-            self.report_evacuations(&evacuations);
-        }
-    }
-
     fn report_evacuations(&self, evacuations: &Evacuations) {
         // The control thread ends only when the process exits.
         let _ = self.events.send(Event::Evacuations(evacuations.clone()));
