Let classes declare that their answers are large

A deployment joins whose upstreams send answers of 90 KB over links of 10 Mbit/s. No decision knows that an answer has a size, and nothing said which requests have large ones.

Nothing decides by it yet.

--- a/acaciaring_core/src/retry.rs
+++ b/acaciaring_core/src/retry.rs
@@ -149,7 +149,9 @@
     fn is_free_redirect(&self, failure: &Failure) -> bool {
         match failure.refusal.reason {
             Reason::NotOwner => failure.redirects <= self.settings.max_redirects,
-            Reason::Busy if failure.has_alternative && !failure.reached_upstream => {
+            Reason::Busy | Reason::LinkFull
+                if failure.has_alternative && !failure.reached_upstream =>
+            {
                 failure.redirects <= MAX_BUSY_REDIRECTS
             }
             _ => false,
@@ -198,6 +200,7 @@
         Reason::NotOwner
         | Reason::NoLease
         | Reason::Busy
+        | Reason::LinkFull
         | Reason::Shed
         | Reason::StandbyLost
         | Reason::Draining
--- a/acaciaring_core/src/route/build.rs
+++ b/acaciaring_core/src/route/build.rs
@@ -146,6 +146,7 @@
     let rank = reader.required(section, "rank", value::rank);
     let repeat = reader.required(section, "repeat", value::repeat);
     let deadline = reader.required(section, "deadline", value::deadline);
+    let large = reader.optional(section, "answers", value::large_answer);
     Some(Class {
         name: section.strip_prefix(CLASS_PREFIX)?.into(),
         method,
@@ -156,6 +157,7 @@
         latency_target: None,
         max_tries: 0,
         single_use: false,
+        large_answer: large.unwrap_or(false),
     })
 }
 
--- a/acaciaring_core/src/route/layout.rs
+++ b/acaciaring_core/src/route/layout.rs
@@ -29,7 +29,7 @@
     ("division", &["kind", "slots", "key"]),
     ("weights", &["churn", "downtime"]),
     ("limits", &["body"]),
-    (CLASS_PREFIX, &["method", "path", "rank", "repeat", "deadline"]),
+    (CLASS_PREFIX, &["method", "path", "rank", "repeat", "deadline", "answers"]),
 ];
 
 /// Known keys of the `workspace` section of a parameters document.
--- a/acaciaring_core/src/route/mod.rs
+++ b/acaciaring_core/src/route/mod.rs
@@ -95,6 +95,8 @@
     pub max_tries: u32,
     /// True if request ids are never reused, so that no deduplication entry is needed.
     pub single_use: bool,
+    /// True if answers are so large that the link of a VM bounds how many are sent per second.
+    pub large_answer: bool,
 }
 
 /// Weights of the costs of moving units, for the balancer.
--- a/acaciaring_core/src/route/value.rs
+++ b/acaciaring_core/src/route/value.rs
@@ -150,6 +150,15 @@
     }
 }
 
+/// Parses the size of a class's answers; true if they are large.
+pub(super) fn large_answer(text: &str) -> Parsed<bool> {
+    match text {
+        "large" => Ok(true),
+        "small" => Ok(false),
+        _ => Err("expected large or small".to_owned()),
+    }
+}
+
 /// Kind of a division.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum DivisionKind {
--- a/acaciaring_core/src/verdict.rs
+++ b/acaciaring_core/src/verdict.rs
@@ -64,6 +64,8 @@
     Unreachable,
     /// Several upstreams crashed while they ran the request.
     Quarantined,
+    /// The answer would not cross the link of the upstream's VM in time.
+    LinkFull,
 }
 
 impl Reason {
@@ -87,6 +89,7 @@
             Self::BadRequest => "bad-request",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
+            Self::LinkFull => "link-full",
         }
     }
 }
--- a/acaciaring_core/tests/route.rs
+++ b/acaciaring_core/tests/route.rs
@@ -168,6 +168,21 @@
     assert_eq!(found, expected);
 }
 
+/// Guards against a class whose answers fill the link of a VM unnoticed, or are limited unasked.
+#[test]
+fn a_class_states_whether_its_answers_are_large() {
+    let class = |text: &str| {
+        let route = build(&template(text), &parameters(PARAMETERS)).expect("valid");
+        route.classes.last().expect("a class").large_answer
+    };
+    let with =
+        |size| TEMPLATE.replace("deadline = 250ms", &format!("deadline = 250ms\nanswers = {size}"));
+    assert!(!class(TEMPLATE));
+    assert!(class(&with("large")));
+    assert!(!class(&with("small")));
+    assert!(faults(&with("huge"), PARAMETERS)[0].contains("expected large or small"));
+}
+
 #[test]
 fn a_line_without_equals_sign_is_not_swallowed() {
     // Guards against two settings lost silently: the parser joins a line without '=' with the next.
--- a/acaciaringd/src/entry/answer.rs
+++ b/acaciaringd/src/entry/answer.rs
@@ -174,7 +174,8 @@
         | Reason::DedupLost
         | Reason::LostAnswer
         | Reason::Unreachable
-        | Reason::Quarantined => UNAVAILABLE,
+        | Reason::Quarantined
+        | Reason::LinkFull => UNAVAILABLE,
     }
 }
 
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -447,6 +447,7 @@
         once: class.repeat == acaciaring_core::route::Repeat::Once,
         rank: wire::rank_number(class.rank),
         single: class.single_use,
+        large: class.large_answer,
         trace: request.trace.to_string(),
         ..Request::default()
     }
--- a/acaciaringd/src/wire.rs
+++ b/acaciaringd/src/wire.rs
@@ -118,6 +118,7 @@
         Reason::BadRequest => peer::Reason::BadRequest,
         Reason::Unreachable => peer::Reason::Unreachable,
         Reason::Quarantined => peer::Reason::Quarantined,
+        Reason::LinkFull => peer::Reason::LinkFull,
     }
 }
 
@@ -138,6 +139,7 @@
         peer::Reason::BadRequest => Reason::BadRequest,
         peer::Reason::Unreachable => Reason::Unreachable,
         peer::Reason::Quarantined => Reason::Quarantined,
+        peer::Reason::LinkFull => Reason::LinkFull,
         // An answer whose reason is missing or unknown is treated as lost.
         peer::Reason::LostAnswer | peer::Reason::None => Reason::LostAnswer,
     }
