--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -11,6 +11,7 @@
 mod id;
 pub mod lag;
 pub mod lease;
+pub mod link_queue;
 pub mod orders;
 pub mod pace;
 pub mod quarantine;
