Send few large answers over the link at a time

About 76 connections of a VM each have 12.5 KB in flight, so that leases, calls and acknowledgements wait up to 0.76 s behind large answers on a link of 10 Mbit/s. Egress issues permits across all connections: two large answers (class with large answers, 16 KiB or more) are transmitted at a time, in the order of LinkQueue. Answers that are fetched and answers to callers of this process acquire one too.

A sender that stops its stream or cancels ends the wait, also when the cancellation arrives on another connection after the request has run; for that the table of attempts keeps the deliveries of large answers. A fetch that is given up no longer counts as delivered for large answers: the sender may ask again, and the first copy stays in flight.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 use crate::clock;
 use crate::control::{Control, ControlContext, Event};
 use crate::declared::Declarations;
+use crate::egress::Egress;
 use crate::gate::{Gate, GateContext};
 use crate::gauges;
 use crate::handler::PeerHandler;
@@ -144,9 +145,7 @@
         let declarations = Arc::new(Declarations::new(decoder, events.clone()));
 
         let deferred = Arc::new(DeferredHandler::default());
-        let transport =
-            Transport::metered(options::peer_settings(settings), deferred.clone(), metrics.clone())
-                .context(PeerSnafu)?;
+        let transport = transport(settings, deferred.clone(), &metrics)?;
         let page = address.map(|address| page(address, &metrics, &transport)).transpose()?;
         let log = adapters.log(transport.runtime());
         let outbox = Outbox::new(&transport);
@@ -223,7 +222,7 @@
             upstream_client,
             upstream: settings.upstream.clone(),
         };
-        gauges::start(&context.shared, &context.gate, metrics);
+        gauges::start(&context.shared, &context.gate, transport.egress().clone(), metrics);
         reader::start(log, polls, reads, read_scheduler, events.clone());
         let control = Control::start(context, inbox);
         info!(http = %listeners.callers(), peer = %transport.local_addr(),
@@ -274,6 +273,17 @@
     }
 }
 
+/// Starts the transport between members, with the permits for large answers on the link of this VM.
+fn transport(
+    settings: &Settings,
+    handler: Arc<DeferredHandler>,
+    metrics: &Metrics,
+) -> Result<Transport, StartError> {
+    let settings = options::peer_settings(settings);
+    let egress = Egress::metered(settings.link_rate, metrics.clone());
+    Transport::metered(settings, handler, metrics.clone(), egress).context(PeerSnafu)
+}
+
 /// Starts the metrics listener.
 fn page(
     address: SocketAddr,
@@ -298,6 +308,7 @@
         shared: Arc::clone(shared),
         gate: Arc::clone(gate),
         transport: transport.clone(),
+        egress: transport.egress().clone(),
         selector: Mutex::new(Selector::new(SelectorSettings::default())),
         budgets: options::retry_budgets(settings),
         suspects: Suspects::default(),
--- a/acaciaringd/src/gauges.rs
+++ b/acaciaringd/src/gauges.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::clock;
+use crate::egress::Egress;
 use crate::gate::Gate;
 use crate::metrics::{Gauge, Metrics};
 use crate::view::Shared;
@@ -14,10 +15,10 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts the thread, which ends once the gate is dropped.
-pub(crate) fn start(shared: &Arc<Shared>, gate: &Arc<Gate>, metrics: Metrics) {
+pub(crate) fn start(shared: &Arc<Shared>, gate: &Arc<Gate>, egress: Egress, metrics: Metrics) {
     let (shared, gate) = (Arc::downgrade(shared), Arc::downgrade(gate));
     let run = move || {
-        while send(&shared, &gate, &metrics).is_some() {
+        while send(&shared, &gate, &egress, &metrics).is_some() {
             thread::sleep(INTERVAL);
         }
     };
@@ -27,11 +28,17 @@
         .expect("the operating system starts a thread");
 }
 
-fn send(shared: &Weak<Shared>, gate: &Weak<Gate>, metrics: &Metrics) -> Option<()> {
+fn send(
+    shared: &Weak<Shared>,
+    gate: &Weak<Gate>,
+    egress: &Egress,
+    metrics: &Metrics,
+) -> Option<()> {
     let (shared, gate) = (shared.upgrade()?, gate.upgrade()?);
     let (busy, waiting) = gate.request_counts();
     metrics.gauge(Gauge::UpstreamBusy, busy as u64);
     metrics.gauge(Gauge::UpstreamQueue, waiting as u64);
+    metrics.gauge(Gauge::LinkBacklog, egress.backlog());
     metrics.gauge(Gauge::DedupEntries, gate.dedup.len() as u64);
     let held = clock::now() < shared.lease.get();
     metrics.gauge(Gauge::LeaseHeld, u64::from(held));
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -11,6 +11,7 @@
 mod critical_thread;
 mod daemon;
 pub mod declared;
+pub mod egress;
 pub mod entry;
 mod fingerprint;
 mod gate;
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -71,6 +71,8 @@
         RequestsRedirected = "requests.redirected", "tries";
         /// Requests refused at the entry because members had just refused similar ones.
         RequestsFull = "requests.full", "requests";
+        /// Requests of callers refused because the link of the member had no room for the answer.
+        RequestsLinkFull = "requests.link_full", "requests";
         /// Requests refused because upstreams crash when they run them.
         RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
@@ -97,6 +99,8 @@
         PeerHeldUp = "peer.held_up", "requests";
         /// Requests delayed in transit and refused because their senders did not respond in time.
         PeerHeldUpRefused = "peer.held_up_refused", "requests";
+        /// Large answers that were not acknowledged within the time limit of their permit.
+        LinkOverdue = "link.overdue", "answers";
         /// Losses of the lease of this member.
         LeaseLost = "lease.lost", "times";
         /// Votes of this member that a lease has expired.
@@ -127,6 +131,8 @@
         UpstreamBusy = "upstream.busy", "requests";
         /// Requests that wait for the upstream.
         UpstreamQueue = "upstream.queue", "requests";
+        /// Bytes of large answers that wait for the link or are being transmitted.
+        LinkBacklog = "link.backlog", "bytes";
         /// 1 while this member holds its lease, else 0.
         LeaseHeld = "lease.held", "0 or 1";
         /// Units that this member owns.
@@ -159,6 +165,8 @@
         Upstream = "upstream.time", "ms";
         /// Time in the queue for the upstream.
         Queue = "queue.time", "ms";
+        /// Time for which a large answer waits for its permit on the link.
+        LinkWait = "link.wait", "ms";
         /// Time from the first attempt that found no server of a unit to its next answer.
         UnitsUnavailable = "units.unavailable", "ms";
         /// Time of an append to the log service.
--- a/acaciaringd/src/peer/inflight.rs
+++ b/acaciaringd/src/peer/inflight.rs
@@ -30,6 +30,8 @@
 pub(super) enum Stage {
     /// Its handler is running.
     Running,
+    /// Its answer waits for the link.
+    Queued,
     /// Its answer is written and not acknowledged yet.
     Answering,
     /// Its connection ended before the answer was acknowledged; the sender may still fetch it.
@@ -40,6 +42,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Running => "running",
+            Self::Queued => "queued",
             Self::Answering => "answering",
             Self::Kept => "kept",
         }
--- a/acaciaringd/src/peer/mod.rs
+++ b/acaciaringd/src/peer/mod.rs
@@ -12,6 +12,7 @@
 mod frame;
 mod inflight;
 mod lags;
+mod large;
 mod limiter;
 mod link;
 mod outgoing;
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -16,6 +16,7 @@
 use crate::peer::exchange::responds;
 use crate::peer::frame;
 use crate::peer::inflight::{InflightGuard, Stage};
+use crate::peer::large::{self, Delivered};
 use crate::peer::serve::{write_frame, write_last};
 use crate::peer::transport::Shared;
 use crate::peer::volume::Kind;
@@ -34,6 +35,7 @@
     guard: &InflightGuard,
 ) -> bool {
     let attempt = request.attempt;
+    let delivery = large::expected(&request);
     let flag = match shared.table.arrive(attempt) {
         Ok(flag) => flag,
         Err(arrival) => {
@@ -48,10 +50,21 @@
         error!(attempt, %error, "handler of a request panicked; reporting its answer as lost");
         lost_answer()
     });
+    let delivery = large::needed(delivery, &answer);
+    // Recorded before the answer, so that a fetch or cancellation finds it.
+    if let Some(delivery) = &delivery {
+        shared.table.deliver(attempt, delivery.clone());
+    }
     // Recorded even if the stream has failed, since the answer can be fetched on another one.
     let frame = finish(shared, attempt, answer);
-    guard.set_stage(Instant::now(), Stage::Answering);
-    write_frame(send, frame).await
+    let Some(delivery) = delivery else {
+        guard.set_stage(Instant::now(), Stage::Answering);
+        return write_frame(send, frame).await;
+    };
+    if cancel_flag.is_set() {
+        delivery.left.set();
+    }
+    large::write(shared, send, frame, &delivery, guard).await != Delivered::Lost
 }
 
 /// Waits for the answer of a request, and cancels the request if the sender stops its stream.
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -13,17 +13,17 @@
 
 use acaciaring_core::attempt::AttemptSettings;
 use acaciaring_schema::peer::{
-    Answer, Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, Request,
-    call, reply,
+    Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, Request, call, reply,
 };
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
 use crate::peer::frame::{self, Code, FrameError, FrameReader};
 use crate::peer::inflight::{InflightGuard, Kind, Message as Tracked, Stage};
+use crate::peer::large::{self, Delivered};
 use crate::peer::link::{Link, Liveness, greet, is_stop, was_unused};
 use crate::peer::pool::HANDSHAKE_FACTOR;
 use crate::peer::run::serve_request;
-use crate::peer::table;
+use crate::peer::table::{self, Delivery, FetchedAnswer};
 use crate::peer::transport::Shared;
 use crate::peer::volume;
 
@@ -232,11 +232,15 @@
             // answer.
             let attempt = fetch.attempt;
             let guard = shared.inflight.track(tracked_fetch(Instant::now(), &fetch, from, process));
-            let answer = serve_fetch(shared, fetch).await;
+            let (answer, delivery) = serve_fetch(shared, fetch).await.unzip();
             guard.set_stage(Instant::now(), Stage::Answering);
             let answered = answer.is_some();
+            let delivery = delivery.flatten();
             let reply = reply::Body::Fetch(FetchReply { answer });
-            if write_acknowledged(shared, send, reply).await && answered {
+            if write_fetched(shared, send, reply, delivery.as_ref(), &guard).await && answered {
+                if let Some(delivery) = delivery {
+                    delivery.fetched.set();
+                }
                 shared.inflight.release(attempt);
             }
             guard.settle();
@@ -281,7 +285,7 @@
 }
 
 /// Waits for the answer of an attempt, up to the sender's deadline.
-async fn serve_fetch(shared: &Shared, fetch: Fetch) -> Option<Answer> {
+async fn serve_fetch(shared: &Shared, fetch: Fetch) -> Option<FetchedAnswer> {
     match shared.table.fetch(fetch.attempt) {
         table::Fetch::Ready(answer) => Some(answer),
         table::Fetch::Absent => None,
@@ -301,19 +305,40 @@
     write_reply(shared, send, body).await.is_some()
 }
 
-/// Writes the only message of a stream; returns whether the peer has acknowledged it.
-async fn write_acknowledged(shared: &Shared, send: &mut SendStream, body: reply::Body) -> bool {
-    write_reply(shared, send, body).await == Some(true)
+/// Writes the reply to a fetch, with a permit if it has a delivery; returns whether the peer has
+/// acknowledged it.
+async fn write_fetched(
+    shared: &Shared,
+    send: &mut SendStream,
+    body: reply::Body,
+    delivery: Option<&Delivery>,
+    guard: &InflightGuard,
+) -> bool {
+    let Some(frame) = encode_reply(shared, send, body) else { return false };
+    match delivery {
+        // A sender that leaves this stream may ask again: the answer is still in flight.
+        Some(delivery) => {
+            let delivered = large::write(shared, send, frame, &delivery.copy(), guard).await;
+            delivered == Delivered::Acknowledged
+        }
+        None => write_frame(send, frame).await,
+    }
 }
 
 /// Writes the only message of a stream; returns whether the peer has acknowledged it, `None` if it
 /// exceeds the message limit.
 async fn write_reply(shared: &Shared, send: &mut SendStream, body: reply::Body) -> Option<bool> {
+    let frame = encode_reply(shared, send, body)?;
+    Some(write_frame(send, frame).await)
+}
+
+/// Encodes the only message of a stream; resets the stream if it exceeds the message limit.
+fn encode_reply(shared: &Shared, send: &mut SendStream, body: reply::Body) -> Option<Bytes> {
     let kind = volume::Kind::of_reply(Some(&body));
     match encode(shared, body) {
         Ok(frame) => {
             shared.volume.sent(kind, frame.len());
-            Some(write_frame(send, frame).await)
+            Some(frame)
         }
         Err(size) => {
             error!(size, "reply exceeds the message limit; resetting its stream");
@@ -337,7 +362,7 @@
     }
 }
 
-fn reset(send: &mut SendStream, code: Code) {
+pub(super) fn reset(send: &mut SendStream, code: Code) {
     // Fails only if the stream has already ended.
     let _ = send.reset(code.into());
 }
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -11,9 +11,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use acaciaring_schema::peer::{Call, Reply, Request, StatusQuery, call, reply};
+use acaciaring_schema::peer::{Call, Fetch, Reply, Request, StatusQuery, call, reply};
 
+use crate::clock;
+use crate::egress::Egress;
+use crate::metrics::Metrics;
 use crate::peer;
+use crate::peer::exchange;
 use crate::peer::frame::{self, Code, FrameError};
 use crate::peer::inflight::{InflightTracker, Kind, Message};
 use crate::peer::timeouts;
@@ -228,6 +232,50 @@
     }
 }
 
+/// Guards against a first copy of a large answer that leaves the queue of the link, and a stop that
+/// does not wait for it, when the sender gives up a fetch of the second one to ask again.
+#[test]
+fn a_fetch_that_is_given_up_ends_no_delivery() {
+    const ENDLESS: u64 = 1 << 34;
+    let authority = Authority::new();
+    let egress = Egress::new(1_250_000);
+    let (settings, permits) = (authority.settings(), egress.clone());
+    let server = Node::start_with(
+        |request, _| echo(request),
+        |handler| Transport::metered(settings, handler, Metrics::none(), permits).unwrap(),
+    );
+    let client = Node::echo(authority.settings());
+    let to = server.transport.local_addr();
+    let expiry = clock::now() + WAIT_TIMEOUT;
+    let occupied =
+        [(); 2].map(|()| server.transport.runtime().block_on(egress.cross(ENDLESS, None, expiry)));
+    let sender = shared(&client.transport);
+    let sent = Request { large: true, ..request(b"a".repeat(50_000)) };
+    let (attempt, expected) = (sent.attempt, RequestOutcome::Answer(echo(sent.clone())));
+    let transport = client.transport.clone();
+    let waiting =
+        sender.runtime.spawn(async move { transport.request(to, sent, WAIT_TIMEOUT).await });
+    support::wait_for(|| egress.backlog() > 2 * ENDLESS);
+    let once = egress.backlog();
+    for _ in 0..3 {
+        let fetch = call::Body::Fetch(Fetch { attempt, left: 20_000 });
+        let task = Arc::clone(sender);
+        let link = sender.runtime.block_on(sender.pool.get(sender, to, 0)).unwrap();
+        let fetching =
+            sender.runtime.spawn(async move { exchange::call_on(&task, &link.conn, fetch).await });
+        support::wait_for(|| egress.backlog() > once);
+        fetching.abort();
+        support::wait_for(|| egress.backlog() <= once);
+        // A delivery that ends does so after the fetch has.
+        thread::sleep(Duration::from_millis(20));
+        assert_eq!(egress.backlog(), once);
+        assert_eq!(server.transport.refuse_requests(), 1);
+    }
+    drop(occupied);
+    let outcome = sender.runtime.block_on(waiting).unwrap();
+    assert!(outcome == expected, "the whole answer");
+}
+
 /// Guards against reporting a request as not run although its answer arrived before the close.
 #[test]
 fn an_answer_that_has_come_is_read_after_a_stop() {
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -17,6 +17,7 @@
 use acaciaring_schema::peer::{Answer, Datagram, Request, call, reply};
 use prost::Message;
 
+use crate::egress::Egress;
 use crate::metrics::Metrics;
 use crate::peer::attempt::{RequestOutcome, RunningRequest};
 use crate::peer::cancel::CancelFlag;
@@ -95,6 +96,8 @@
     /// Processes of other members that have stopped.
     pub stopped_peers: StoppedProcesses,
     pub metrics: Metrics,
+    /// Permits for large answers.
+    pub egress: Egress,
     links: AtomicU64,
     stopped: AtomicBool,
 }
@@ -133,10 +136,12 @@
     /// Fails if a certificate or key is unusable, the address cannot be bound or a thread cannot be
     /// started.
     pub fn start(settings: PeerSettings, handler: Arc<dyn Handler>) -> Result<Self, PeerError> {
-        Self::metered(settings, handler, Metrics::none())
+        let egress = Egress::new(settings.link_rate);
+        Self::metered(settings, handler, Metrics::none(), egress)
     }
 
-    /// Like [`Transport::start`], with metrics of the connections.
+    /// Like [`Transport::start`], with metrics of the connections and permits for large answers,
+    /// which are shared with all others that use the link of this VM.
     ///
     /// # Errors
     ///
@@ -145,6 +150,7 @@
         settings: PeerSettings,
         handler: Arc<dyn Handler>,
         metrics: Metrics,
+        egress: Egress,
     ) -> Result<Self, PeerError> {
         let Configs { fingerprint, trusted, server, client } = tls::configs(&settings)?;
         let runtime = Threads::start(settings.threads).context(ThreadsSnafu)?;
@@ -173,6 +179,7 @@
             outgoing: Arc::default(),
             stopped_peers: StoppedProcesses::default(),
             metrics,
+            egress,
             links: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         });
@@ -306,6 +313,12 @@
         self.inner.shared.trusted.on_untrusted(Box::new(callback));
     }
 
+    /// Returns the permits for large answers on the link of this VM.
+    #[must_use]
+    pub fn egress(&self) -> &Egress {
+        &self.inner.shared.egress
+    }
+
     /// Returns the bytes and packets transferred so far.
     #[must_use]
     pub fn traffic(&self) -> Traffic {
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -44,6 +44,7 @@
 pub(crate) use self::wait_limit::WaitLimit;
 use crate::clock;
 use crate::declared::Declarations;
+use crate::egress::{self, Egress};
 use crate::entry::{EntryAnswer, EntryRequest};
 use crate::gate::Gate;
 use crate::lag_monitor::LagMonitor;
@@ -71,6 +72,8 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) gate: Arc<Gate>,
     pub(crate) transport: Transport,
+    /// Permits for large answers.
+    pub(crate) egress: Egress,
     pub(crate) selector: Mutex<Selector>,
     pub(crate) budgets: RetryBudgets,
     pub(crate) suspects: Suspects,
@@ -315,17 +318,29 @@
         };
         match answer {
             Ok(answer) => {
+                self.cross_link(plan, &answer).await;
                 self.log_late(plan, &answer);
                 entry_answer(answer)
             }
             Err(refusal) => {
                 let refusal = with_retry_after(refusal);
+                if refusal.reason == Reason::LinkFull {
+                    self.metrics.count(Counter::RequestsLinkFull, 1);
+                }
                 self.log_unanswered(plan, refusal);
                 EntryAnswer::refusal(refusal)
             }
         }
     }
 
+    /// Waits until a large answer may cross the link to the caller.
+    async fn cross_link(&self, plan: &Plan, answer: &Answer) {
+        if plan.class.large_answer && egress::is_large(&answer.body) {
+            let bytes = answer.body.len() as u64;
+            self.egress.pass(bytes, plan.aim, plan.deadline).await;
+        }
+    }
+
     /// Sends the request to one member; the error is an attempt whose member stopped responding.
     async fn attempt(
         &self,
--- a/acaciaringd/tests/peer_support/mod.rs
+++ b/acaciaringd/tests/peer_support/mod.rs
@@ -104,11 +104,19 @@
     pub fn start(
         settings: PeerSettings,
         run: impl Fn(Request, &CancelFlag) -> Answer + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(run, |handler| Transport::start(settings, handler).unwrap())
+    }
+
+    /// Starts a node whose transport is started by a function of the test.
+    pub fn start_with(
+        run: impl Fn(Request, &CancelFlag) -> Answer + Send + Sync + 'static,
+        start: impl FnOnce(Arc<dyn Handler>) -> Transport,
     ) -> Self {
         let (sender, datagrams) = unbounded();
         let run: RequestFn = Arc::new(run);
         let handler = Arc::new(TestHandler { run, runs: AtomicUsize::new(0), datagrams: sender });
-        let transport = Transport::start(settings, handler.clone()).unwrap();
+        let transport = start(handler.clone());
         Self { transport, handler, datagrams }
     }
 
