Remember refusals for a full link apart from those for a full queue

An entry remembers which members were full and refuses similar requests itself. A queue that is full for short calls is full for all.

The code that refuses on behalf of full members moves from router/mod.rs to router/full.rs.

--- a/acaciaring_core/src/refusal_cache.rs
+++ b/acaciaring_core/src/refusal_cache.rs
@@ -3,7 +3,8 @@
 //!
 //! Far above capacity most requests are refused, and each refusal would cost a round trip and
 //! processor time that answers need. A queue that has just refused a request also refuses one of
-//! the same rank with no more time left.
+//! the same rank with no more time left. A refusal of a request with a large answer may be due to
+//! the link of the member and applies to such requests only.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub aim: Duration,
     /// Time until the answer becomes useless.
     pub left: Duration,
+    /// True if the class has large answers.
+    pub large: bool,
 }
 
 impl Slack {
@@ -49,7 +52,8 @@
 /// Recent refusals of members whose queues were full.
 #[derive(Debug, Default)]
 pub struct RefusalCache {
-    refusals: HashMap<(MemberId, Rank), CachedRefusal>,
+    /// Refusals by member, rank and whether the answer is large.
+    refusals: HashMap<(MemberId, Rank, bool), CachedRefusal>,
 }
 
 impl RefusalCache {
@@ -57,15 +61,19 @@
     pub fn record(&mut self, now: Time, member: MemberId, slack: Slack, retry: Duration) {
         self.refusals.retain(|_, refusal| now < refusal.until);
         let refusal = CachedRefusal { until: now + retry / HOLD_DIVISOR, slack, retry };
-        self.refusals.insert((member, slack.rank), refusal);
+        self.refusals.insert((member, slack.rank, slack.large), refusal);
     }
 
     /// Returns the retry delay if the member would refuse the request, `None` if it may accept it.
     #[must_use]
     pub fn retry_after(&self, now: Time, member: MemberId, slack: Slack) -> Option<Duration> {
-        let refusal = self.refusals.get(&(member, slack.rank))?;
-        let valid = now < refusal.until && slack.within(refusal.slack);
-        valid.then_some(refusal.retry)
+        let find = |large| {
+            let refusal = self.refusals.get(&(member, slack.rank, large))?;
+            let valid = now < refusal.until && slack.within(refusal.slack);
+            valid.then_some(refusal.retry)
+        };
+        let own = if slack.large { find(true) } else { None };
+        own.or_else(|| find(false))
     }
 
     /// Removes members that would refuse the request; returns their shortest retry delay.
--- a/acaciaring_core/tests/full.rs
+++ b/acaciaring_core/tests/full.rs
@@ -15,7 +15,7 @@
 }
 
 fn slack(rank: Rank, aim: u64, left: u64) -> Slack {
-    Slack { rank, aim: ms(aim), left: ms(left) }
+    Slack { rank, aim: ms(aim), left: ms(left), large: false }
 }
 
 // Guards against requests refused at the entry that the member could accept: those with more time
@@ -64,3 +64,24 @@
     assert_eq!(cache.retain(now, &mut members, request), Some(ms(160)));
     assert!(members.is_empty());
 }
+
+// Guards against short calls refused for a member whose link has no room for large answers. A queue
+// that is full for short calls is full for all.
+#[test]
+fn a_refusal_of_a_large_answer_holds_for_large_answers_only() {
+    let mut cache = RefusalCache::default();
+    let now = Time::from_millis(1_000);
+    let small = slack(Rank::Bulk, 500, 2_000);
+    let large = Slack { large: true, ..small };
+    cache.record(now, ONE, large, ms(320));
+    assert_eq!(cache.retry_after(now, ONE, large), Some(ms(320)));
+    assert_eq!(cache.retry_after(now, ONE, small), None);
+    let mut members = vec![ONE, TWO];
+    assert_eq!(cache.retain(now, &mut members, small), None);
+    assert_eq!(members, [ONE, TWO]);
+    cache.record(now, TWO, small, ms(160));
+    assert_eq!(cache.retry_after(now, TWO, small), Some(ms(160)));
+    assert_eq!(cache.retry_after(now, TWO, large), Some(ms(160)));
+    assert_eq!(cache.retain(now, &mut members, large), Some(ms(160)));
+    assert!(members.is_empty());
+}
--- a/acaciaring_core/tests/support/upstream.rs
+++ b/acaciaring_core/tests/support/upstream.rs
@@ -213,7 +213,7 @@
         let deadline = request.arrived + stream.deadline;
         let ticket = Ticket { rank: stream.rank, deadline, expiry: deadline, attempt };
         let left = deadline.since(now);
-        let slack = Slack { rank: stream.rank, aim: left, left };
+        let slack = Slack { rank: stream.rank, aim: left, left, large: false };
         let retry = self
             .refusal_cache
             .as_ref()
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -3,6 +3,7 @@
 //! Keyed services send a request to the owner of its key, pooled ones to any member whose upstream
 //! serves the workspace.
 
+mod full;
 mod keyed;
 mod member_backoff;
 mod outages;
@@ -16,12 +17,11 @@
 mod traffic_splits;
 mod wait_limit;
 
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use acaciaring_core::refusal_cache::{RefusalCache, Slack};
+use acaciaring_core::refusal_cache::Slack;
 use acaciaring_core::retry::{Failure, RetryDecision};
 use acaciaring_core::route::{Class, Division, Rank, Route};
 use acaciaring_core::selector::Selector;
@@ -31,6 +31,7 @@
 use rand::Rng;
 use tracing::{debug, info};
 
+pub(crate) use self::full::FullMembers;
 pub(crate) use self::outages::Outages;
 use self::outcome::{
     AttemptOutcome, Load, classify, entry_answer, reached_upstream, with_retry_after,
@@ -63,9 +64,6 @@
 /// Retry delay sent to a client whose request could not reach an owner.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Random factor for the retry delay of a request that is refused on behalf of a full member.
-const RETRY_JITTER: Range<f64> = 0.75..1.25;
-
 /// Routes the client requests that this process receives.
 pub(crate) struct Router {
     pub(crate) shared: Arc<Shared>,
@@ -74,8 +72,8 @@
     pub(crate) selector: Mutex<Selector>,
     pub(crate) budgets: RetryBudgets,
     pub(crate) suspects: Suspects,
-    /// Recent refusals of members whose queues were full.
-    pub(crate) refusals: Mutex<RefusalCache>,
+    /// Recent refusals of members whose queue or link was full.
+    pub(crate) refusals: Mutex<FullMembers>,
     /// Requests that crash upstreams.
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) outages: Outages,
@@ -119,7 +117,8 @@
     /// Returns the request's rank and remaining times, by which a queue admits it.
     fn slack(&self, now: Time) -> Slack {
         let left = self.deadline.since(now);
-        Slack { rank: self.class.rank, aim: self.aim.map_or(left, |aim| aim.since(now)), left }
+        let aim = self.aim.map_or(left, |aim| aim.since(now));
+        Slack { rank: self.class.rank, aim, left, large: self.class.large_answer }
     }
 }
 
@@ -364,49 +363,6 @@
     }
 }
 
-impl Router {
-    /// Records that another member refused a request because its queue was full.
-    ///
-    /// Less time is left now than when the member decided, so the record applies to too few
-    /// requests rather than to too many.
-    fn record_full(&self, plan: &Plan, target: MemberId, refusal: Refusal) {
-        let Refusal { reason: Reason::Busy, retry: Some(retry), .. } = refusal else { return };
-        if self.shared.view().me != Some(target) {
-            let now = clock::now();
-            self.refusals.lock().record(now, target, plan.slack(now), retry);
-        }
-    }
-
-    /// Returns a refusal if the owner's queue was recently full for requests like this one.
-    fn refuse_full(&self, now: Time, plan: &Plan, owner: MemberId) -> Option<Refusal> {
-        let retry = self.refusals.lock().retry_after(now, owner, plan.slack(now))?;
-        plan.last_member.store(owner.0, Ordering::Relaxed);
-        Some(self.full_refusal(retry))
-    }
-
-    /// Removes the members whose queues were recently full for requests like this one.
-    ///
-    /// Returns a refusal if that leaves no member that has not been tried.
-    fn exclude_full(
-        &self,
-        now: Time,
-        plan: &Plan,
-        members: &mut Vec<MemberId>,
-        tried: &[MemberId],
-    ) -> Option<Refusal> {
-        let retry = self.refusals.lock().retain(now, members, plan.slack(now));
-        let all_tried = members.iter().all(|member| tried.contains(member));
-        retry.filter(|_| all_tried).map(|retry| self.full_refusal(retry))
-    }
-
-    /// Returns the refusal of a request that is not forwarded; jitter spreads the clients' retries.
-    fn full_refusal(&self, retry: Duration) -> Refusal {
-        self.metrics.count(Counter::RequestsFull, 1);
-        let retry = retry.mul_f64(rand::rng().random_range(RETRY_JITTER));
-        Refusal::not_run(Reason::Busy).after(retry)
-    }
-}
-
 /// Refuses a request that waited unread for more than half of its latency target.
 fn check_lag(class: &Class, lag: Duration) -> Result<(), Refusal> {
     let too_late = |target: Duration| lag > target / 2;
--- a/acaciaringd/src/router/pooled.rs
+++ b/acaciaringd/src/router/pooled.rs
@@ -236,8 +236,9 @@
 
 /// Returns the outcome that the selector records for a refusal.
 ///
-/// A full queue depends on the class and deadline of the request: a member that refuses
-/// background work still accepts critical work, so the member is not avoided for it.
+/// A full queue or link depends on the class and deadline of the request: a member that refuses
+/// background work still accepts critical work, and one that refuses large answers still accepts
+/// short calls, so the member is not avoided for it.
 fn selector_outcome(refusal: Refusal, load: Load) -> Outcome {
     match refusal.reason {
         Reason::Busy if load.capacity == 0 => Outcome::Refused(refusal.retry),
