Admit large answers by the bytes that the link of the VM carries

Upstreams that send answers of 90 KB over links of 10 Mbit/s produced more than the links carry. Slots were free, so all requests ran, and their answers waited behind each other until most were late. No decision took the size of an answer into account.

A request of a class with large answers now states the expected size of its answer (smoothed mean plus one mean deviation by workspace and class, 64 KiB at first). It starts only if the link will have sent the outstanding bytes (backlog and expected answers of running requests) by the time its answer is ready, or with up to two answers more if it then still arrives by its deadline. Others overtake it meanwhile and do not count it as work before them. One whose answer cannot arrive in time is postponed or refused before it runs, with `link-full` and the time that the link takes for what waits, at most a third of the caller's time. The gate reads the backlog before each decision and counts an answer from the end of its request; the backlog is zero until it is wired to the transmission.

The existing admission tests have the new field of Ticket and nothing else.

--- a/acaciaring_core/examples/policy.rs
+++ b/acaciaring_core/examples/policy.rs
@@ -296,6 +296,7 @@
             deadline: now + MINUTE,
             expiry: now + MINUTE,
             attempt,
+            answer: 0,
         };
         if let acaciaring_core::admission::Offer::Start(item) =
             admission.offer(now, ticket, attempt)
--- a/acaciaring_core/src/admission/mod.rs
+++ b/acaciaring_core/src/admission/mod.rs
@@ -8,20 +8,27 @@
 //! An upstream may also limit the requests per second, always or while it is cold. Each request then
 //! counts for the slot time between two starts at the least, so predictions and shares hold for
 //! both limits.
+//!
+//! A request with a large answer also waits for the link of the VM, while others overtake it.
 
+mod late;
+mod link;
 mod predict;
 mod queue;
 mod rate;
 mod select;
 mod service;
 mod settings;
+mod sizes;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 pub use self::rate::ColdLimit;
 pub use self::settings::AdmissionSettings;
+pub use self::sizes::AnswerSizes;
 
+use self::link::Link;
 use self::queue::WaitQueue;
 use self::rate::RateLimits;
 use self::service::ServiceTimes;
@@ -53,6 +60,16 @@
     pub expiry: Time,
     /// Attempt number, unique among the requests that wait or run here.
     pub attempt: u64,
+    /// Expected answer bytes that cross the link of this VM; 0 for an answer that is not large.
+    pub answer: u64,
+}
+
+/// Request at the upstream.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    rank: Rank,
+    /// Expected answer bytes.
+    answer: u64,
 }
 
 /// Result of [`Admission::offer`].
@@ -99,7 +116,8 @@
     mode: Mode,
     /// Concurrency limit at the start of the ramp, and the start time.
     ramp: (u32, Time),
-    running: HashMap<u64, Rank>,
+    running: HashMap<u64, Running>,
+    link: Link,
     waiting: WaitQueue<T>,
     /// Requests that have missed or would miss their deadline but have not expired.
     ///
@@ -119,11 +137,13 @@
     #[must_use]
     pub fn new(settings: AdmissionSettings) -> Self {
         let times = ServiceTimes::new(settings.service_time);
+        let link = Link::new(settings.link_rate);
         Self {
             ramp: (settings.slots, Time::ZERO),
             settings,
             mode: Mode::Open,
             running: HashMap::new(),
+            link,
             waiting: WaitQueue::new(),
             late: WaitQueue::new(),
             times,
@@ -193,15 +213,15 @@
         if let Some(refusal) = self.refuse_immediately(now, ticket) {
             return Offer::Refused(item, refusal);
         }
-        if self.can_start_now(now) {
+        if self.can_start_now(now, &ticket) {
             self.record_start(now, ticket);
             return Offer::Start(item);
         }
         let wait = self.predicted_wait(now, ticket);
-        if now + wait + self.times.upper_estimate(ticket.rank, self.settings.deviations)
-            > ticket.deadline
-        {
-            return self.offer_late(now, ticket, item);
+        let ready = now + wait + self.times.upper_estimate(ticket.rank, self.settings.deviations);
+        let before = self.bytes_before(&ticket);
+        if let Some(missed) = self.miss(now, ready, before, &ticket, ticket.deadline) {
+            return self.offer_late(now, ticket, item, missed);
         }
         if self.waiting.len() < self.settings.queue {
             self.waiting.push(ticket, item);
@@ -224,99 +244,13 @@
         took: Duration,
         completion: Completion,
     ) -> Vec<T> {
-        if let Some(rank) = self.running.remove(&attempt) {
+        if let Some(Running { rank, answer }) = self.running.remove(&attempt) {
             self.times.sample(rank, took, completion);
+            self.link.finish(answer);
         }
         self.start_waiting(now)
     }
 
-    /// Removes and refuses the waiting requests that can no longer be answered in time.
-    ///
-    /// Requests that are still useful after their deadline move to the late queue instead.
-    pub fn expire(&mut self, now: Time) -> Vec<(T, Refusal)> {
-        let mut late = Vec::new();
-        let mut ahead = self.residual(now);
-        let slots = f64::from(self.capacity(now));
-        for rank in RANKS {
-            let service = self.times.slot_time(rank);
-            let needed = self.times.upper_estimate(rank, self.settings.deviations);
-            let mut own = 0.0;
-            for ticket in self.waiting.tickets(rank) {
-                let wait = self.bounded_wait(rank, ahead, own, slots);
-                if now + wait + needed > ticket.deadline {
-                    late.push(ticket.attempt);
-                } else {
-                    own += service;
-                }
-            }
-            ahead += own;
-        }
-        let mut refused = self.postpone(now, &late);
-        let expired = self.expired(now);
-        refused.extend(self.refuse(now, &expired, Reason::Expired));
-        refused
-    }
-
-    /// Returns the late requests that would expire before the work ahead of them is done.
-    fn expired(&self, now: Time) -> Vec<u64> {
-        let mut expired = Vec::new();
-        let slots = f64::from(self.capacity(now));
-        let mut ahead = self.residual(now);
-        for rank in RANKS {
-            let needed = self.times.upper_estimate(rank, 0.0);
-            let feasible_work = self.work_ahead(&self.waiting, rank);
-            for ticket in self.late.tickets(rank) {
-                let wait = Duration::from_secs_f64((ahead + feasible_work) / slots);
-                if now + wait + needed > ticket.expiry {
-                    expired.push(ticket.attempt);
-                } else {
-                    ahead += self.times.slot_time(rank);
-                }
-            }
-        }
-        expired
-    }
-
-    /// Queues a request behind all that can meet their deadline.
-    ///
-    /// Its wait is bounded by a fraction of the time to its expiry. Guards against a request that
-    /// is overtaken for as long as an overload lasts and leaves its caller no time for a retry.
-    fn push_late(&mut self, now: Time, ticket: Ticket, item: T) {
-        let overtakes = self.running.values().any(|rank| self.overtakes(ticket.rank, *rank));
-        let divisor = if overtakes { OVERTAKE_WAIT_DIVISOR } else { LATE_WAIT_DIVISOR };
-        let expiry = now + ticket.expiry.since(now) / divisor;
-        self.late.push(Ticket { deadline: expiry, expiry, ..ticket }, item);
-    }
-
-    /// Queues a request that would miss its deadline but be useful later, or refuses it.
-    fn offer_late(&mut self, now: Time, ticket: Ticket, item: T) -> Offer<T> {
-        let wait = self.predicted_late_wait(now, ticket.rank);
-        let done = now + wait + self.times.upper_estimate(ticket.rank, self.settings.deviations);
-        if ticket.expiry <= ticket.deadline
-            || done > ticket.expiry
-            || self.late.len() >= self.settings.queue
-        {
-            return Offer::Refused(item, self.refusal(now, Reason::Busy, ticket.attempt));
-        }
-        self.push_late(now, ticket, item);
-        Offer::Queued { displaced: None }
-    }
-
-    /// Moves waiting requests that would be late to the late queue; returns those refused.
-    fn postpone(&mut self, now: Time, attempts: &[u64]) -> Vec<(T, Refusal)> {
-        let mut refused = Vec::new();
-        for attempt in attempts {
-            let Some((ticket, item)) = self.waiting.remove(*attempt) else { continue };
-            let useful = now + self.times.upper_estimate(ticket.rank, 0.0) <= ticket.expiry;
-            if ticket.expiry > ticket.deadline && useful && self.late.len() < self.settings.queue {
-                self.push_late(now, ticket, item);
-            } else {
-                refused.push((item, self.refusal(now, Reason::Expired, *attempt)));
-            }
-        }
-        refused
-    }
-
     /// Removes a waiting request whose caller has disconnected; `None` when it does not wait here.
     ///
     /// A running request keeps its slot until [`Admission::finish`].
@@ -389,10 +323,10 @@
         self.start_waiting(now)
     }
 
-    /// Returns the waiting requests that the rate limit allows to start by now.
+    /// Returns the waiting requests that the rate limit and the link allow to start by now.
     pub fn start_due(&mut self, now: Time) -> Vec<T> {
         let ended = self.end_cold(now);
-        let limited = ended || self.rates.rate().is_some();
+        let limited = ended || self.rates.rate().is_some() || self.waits_for_link();
         if limited { self.start_waiting(now) } else { Vec::new() }
     }
 
@@ -450,8 +384,22 @@
     /// With a free slot and no feasible request waiting, it starts regardless of the estimates.
     /// Otherwise an estimate that exceeds all deadlines would block all requests and never be
     /// corrected.
-    fn can_start_now(&self, now: Time) -> bool {
-        self.has_room(now) && RANKS.into_iter().all(|rank| self.first_feasible(now, rank).is_none())
+    ///
+    /// A request with a large answer overtakes none that waits for the link. Others do: had the
+    /// link had room at the last finish or sweep, those that wait would use the free slot.
+    fn can_start_now(&self, now: Time, ticket: &Ticket) -> bool {
+        if !self.has_room(now) {
+            return false;
+        }
+        if self.link.limits(ticket) {
+            return self.link_allows(now, ticket)
+                && self.is_useful(now, ticket)
+                && self.next_feasible(now, |_| true).is_none();
+        }
+        if self.rates.rate().is_none() {
+            return self.next_feasible(now, |waiting| !self.link.limits(waiting)).is_none();
+        }
+        self.next_startable(now).is_none()
     }
 
     /// Removes a request from either queue.
@@ -506,14 +454,20 @@
                 self.credit[index] = (self.credit[index] + earned).min(max_credit);
             }
         }
-        self.running.insert(ticket.attempt, ticket.rank);
+        self.link.start(ticket.answer);
+        let running = Running { rank: ticket.rank, answer: ticket.answer };
+        self.running.insert(ticket.attempt, running);
     }
 
     fn refuse(&mut self, now: Time, attempts: &[u64], reason: Reason) -> Vec<(T, Refusal)> {
         let mut refused = Vec::with_capacity(attempts.len());
         for attempt in attempts {
             let refusal = self.refusal(now, reason, *attempt);
-            refused.extend(self.take(*attempt).map(|(_, item)| (item, refusal)));
+            let taken = self.take(*attempt);
+            refused.extend(taken.map(|(ticket, item)| match reason {
+                Reason::LinkFull => (item, self.link_refusal(now, &ticket)),
+                _ => (item, refusal),
+            }));
         }
         refused
     }
--- a/acaciaring_core/src/admission/predict.rs
+++ b/acaciaring_core/src/admission/predict.rs
@@ -18,25 +18,46 @@
     pub(super) fn predicted_wait(&self, now: Time, ticket: Ticket) -> Duration {
         let mut ahead = self.residual(now);
         for rank in RANKS.into_iter().filter(|rank| *rank < ticket.rank) {
-            ahead += self.waiting.work(rank, &self.times);
+            ahead += self.waiting_work(rank);
         }
-        let before = self.waiting.tickets(ticket.rank).filter(|t| t.deadline <= ticket.deadline);
-        let own = before.map(|_| self.times.slot_time(ticket.rank)).sum();
+        let until = Some(ticket.deadline);
+        let before = self.startable(&self.waiting, self.link.owed(), ticket.rank, until);
+        let own = (0..before).map(|_| self.times.slot_time(ticket.rank)).sum();
         self.bounded_wait(ticket.rank, ahead, own, f64::from(self.capacity(now)))
     }
 
     /// Returns the predicted time until a new late request of a rank would start.
     pub(super) fn predicted_late_wait(&self, now: Time, rank: Rank) -> Duration {
+        let before = self.link.owed().saturating_add(self.waiting.answers());
         let all = self.residual(now)
-            + self.work_ahead(&self.waiting, rank)
-            + self.work_ahead(&self.late, rank);
+            + self.work_ahead_waiting(rank)
+            + self.work_ahead(&self.late, before, rank);
         Duration::from_secs_f64(all / f64::from(self.capacity(now)))
     }
 
-    /// Returns the slot time that a queue serves before a late request of a rank, in seconds.
-    pub(super) fn work_ahead(&self, queue: &WaitQueue<T>, rank: Rank) -> f64 {
-        let before = RANKS.into_iter().filter(|other| !self.overtakes(rank, *other));
-        before.map(|other| queue.work(other, &self.times)).sum()
+    /// Returns the slot time that requests which can meet their deadline use before a late one of
+    /// a rank, in seconds.
+    pub(super) fn work_ahead_waiting(&self, rank: Rank) -> f64 {
+        self.work_ahead(&self.waiting, self.link.owed(), rank)
+    }
+
+    /// Returns the slot time that a queue serves before a late request of a rank, in seconds, with
+    /// `before` bytes to send before its answers.
+    fn work_ahead(&self, queue: &WaitQueue<T>, before: u64, rank: Rank) -> f64 {
+        let served = RANKS.into_iter().filter(|other| !self.overtakes(rank, *other));
+        served.map(|other| self.work(queue, before, other)).sum()
+    }
+
+    /// Returns the slot time that the waiting requests of a rank will take, in seconds.
+    fn waiting_work(&self, rank: Rank) -> f64 {
+        self.work(&self.waiting, self.link.owed(), rank)
+    }
+
+    /// Returns the slot time that the requests of a rank in a queue will take, in seconds, without
+    /// those that the link holds back.
+    fn work(&self, queue: &WaitQueue<T>, before: u64, rank: Rank) -> f64 {
+        let count = self.startable(queue, before, rank, None);
+        f64::from(count) * self.times.slot_time(rank)
     }
 
     /// Returns true when a late request of `rank` starts before one of `other` that can meet its
@@ -70,6 +91,14 @@
         self.rates.wait(now).as_secs_f64() * f64::from(self.capacity(now))
     }
 
+    /// Returns the refusal of a request that was removed from a queue.
+    pub(super) fn refusal_for(&self, now: Time, reason: Reason, ticket: &Ticket) -> Refusal {
+        match reason {
+            Reason::LinkFull => self.link_refusal(now, ticket),
+            _ => self.refusal(now, reason, ticket.attempt),
+        }
+    }
+
     /// Returns a refusal whose retry delay is the time in which the present queue is served.
     ///
     /// The delay is spread by the attempt number, so that callers refused together do not return
@@ -83,7 +112,7 @@
             Mode::Shedding(until) => until.since(now),
             Mode::Open | Mode::Draining => Duration::ZERO,
         };
-        let work: f64 = RANKS.into_iter().map(|rank| self.waiting.work(rank, &self.times)).sum();
+        let work: f64 = RANKS.into_iter().map(|rank| self.waiting_work(rank)).sum();
         let queue = (work + self.residual(now)) / f64::from(self.capacity(now));
         let queue = Duration::from_secs_f64(queue).max(self.settings.min_retry);
         refusal.after(shed + queue.mul_f64(jitter(attempt)))
@@ -91,7 +120,7 @@
 }
 
 /// Returns a factor from 1 to 2 derived from the attempt number alone.
-fn jitter(attempt: u64) -> f64 {
+pub(super) fn jitter(attempt: u64) -> f64 {
     let mixed = xxh3_64(&attempt.to_le_bytes()) >> 32;
     let mixed = u32::try_from(mixed).unwrap_or(u32::MAX);
     1.0 + f64::from(mixed) / f64::from(u32::MAX)
--- a/acaciaring_core/src/admission/queue.rs
+++ b/acaciaring_core/src/admission/queue.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::service::ServiceTimes;
 use super::{RANK_COUNT, RANKS, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
@@ -14,13 +13,20 @@
 #[derive(Debug)]
 pub(super) struct WaitQueue<T> {
     arrivals: u64,
+    /// Expected answer bytes of all entries.
+    answers: u64,
     ranks: [BTreeMap<QueueKey, (Ticket, T)>; RANK_COUNT],
     keys: HashMap<u64, (Rank, QueueKey)>,
 }
 
 impl<T> WaitQueue<T> {
     pub(super) fn new() -> Self {
-        Self { arrivals: 0, ranks: [const { BTreeMap::new() }; RANK_COUNT], keys: HashMap::new() }
+        Self {
+            arrivals: 0,
+            answers: 0,
+            ranks: [const { BTreeMap::new() }; RANK_COUNT],
+            keys: HashMap::new(),
+        }
     }
 
     pub(super) fn len(&self) -> usize {
@@ -35,14 +41,14 @@
         self.keys.contains_key(&attempt)
     }
 
-    /// Returns the slot time that the waiting requests of a rank will take, in seconds.
-    pub(super) fn work(&self, rank: Rank, times: &ServiceTimes) -> f64 {
-        let count = u32::try_from(self.count(rank)).unwrap_or(u32::MAX);
-        f64::from(count) * times.slot_time(rank)
+    /// Returns the expected answer bytes of the waiting requests.
+    pub(super) fn answers(&self) -> u64 {
+        self.answers
     }
 
     pub(super) fn push(&mut self, ticket: Ticket, item: T) {
         self.arrivals += 1;
+        self.answers += ticket.answer;
         let key = (ticket.deadline, self.arrivals);
         self.ranks[ticket.rank as usize].insert(key, (ticket, item));
         self.keys.insert(ticket.attempt, (ticket.rank, key));
@@ -50,7 +56,9 @@
 
     pub(super) fn remove(&mut self, attempt: u64) -> Option<(Ticket, T)> {
         let (rank, key) = self.keys.remove(&attempt)?;
-        self.ranks[rank as usize].remove(&key)
+        let entry = self.ranks[rank as usize].remove(&key)?;
+        self.answers -= entry.0.answer;
+        Some(entry)
     }
 
     /// Returns the tickets of a rank, earliest deadline first.
@@ -58,14 +66,15 @@
         self.ranks[rank as usize].values().map(|(ticket, _)| ticket)
     }
 
-    /// Returns the attempt with the earliest deadline in the most important rank.
-    pub(super) fn first(&self) -> Option<u64> {
-        RANKS.into_iter().find_map(|rank| self.first_of(rank))
+    /// Returns the ticket with the earliest deadline in the most important rank, of those that may
+    /// start.
+    pub(super) fn first(&self, may: impl Fn(&Ticket) -> bool) -> Option<&Ticket> {
+        RANKS.into_iter().find_map(|rank| self.first_of(rank, &may))
     }
 
-    /// Returns the attempt of a rank with the earliest deadline.
-    pub(super) fn first_of(&self, rank: Rank) -> Option<u64> {
-        self.ranks[rank as usize].first_key_value().map(|(_, (ticket, _))| ticket.attempt)
+    /// Returns the ticket of a rank with the earliest deadline, of those that may start.
+    pub(super) fn first_of(&self, rank: Rank, may: impl Fn(&Ticket) -> bool) -> Option<&Ticket> {
+        self.tickets(rank).find(|ticket| may(ticket))
     }
 
     /// Returns the attempt of a rank with the latest deadline.
--- a/acaciaring_core/src/admission/select.rs
+++ b/acaciaring_core/src/admission/select.rs
@@ -2,36 +2,71 @@
 
 use std::time::Duration;
 
-use super::{Admission, RANK_COUNT, RANKS};
+use super::{Admission, RANKS, Ticket};
 use crate::route::Rank;
 use crate::time::Time;
 use crate::verdict::Reason;
 
 impl<T> Admission<T> {
     /// Returns the waiting request to start next; late ones come last unless they may overtake.
+    ///
+    /// While the link holds back the first one, only requests without large answers may start.
     pub(super) fn next(&self, now: Time) -> Option<u64> {
-        let heads = RANKS.map(|rank| self.first_feasible(now, rank));
-        let Some((rank, attempt)) = self.next_feasible(heads) else { return self.late.first() };
-        let mut overtaking = RANKS.into_iter().filter(|late| self.overtakes(*late, rank));
-        overtaking.find_map(|late| self.late.first_of(late)).or(Some(attempt))
+        let first = self.select(now, |_| true)?;
+        if self.link_allows(now, first) {
+            return Some(first.attempt);
+        }
+        let small = self.select(now, |ticket| !self.link.limits(ticket))?;
+        Some(small.attempt)
+    }
+
+    /// Returns the first of the waiting requests that may start.
+    fn select(&self, now: Time, may: impl Fn(&Ticket) -> bool) -> Option<&Ticket> {
+        let useful = |ticket: &Ticket| may(ticket) && self.is_useful(now, ticket);
+        let Some(feasible) = self.next_feasible(now, &may) else { return self.late.first(useful) };
+        let mut overtaking = RANKS.into_iter().filter(|late| self.overtakes(*late, feasible.rank));
+        overtaking.find_map(|late| self.late.first_of(late, useful)).or(Some(feasible))
     }
 
-    fn next_feasible(&self, heads: [Option<u64>; RANK_COUNT]) -> Option<(Rank, u64)> {
-        let ranked = || RANKS.into_iter().zip(heads).filter_map(|(r, head)| Some((r, head?)));
-        if let Some(critical) = heads[0] {
-            return Some((Rank::Critical, critical));
+    /// Returns the feasible request to start next if the link lets it start, else the next one
+    /// without a large answer.
+    pub(super) fn next_startable(&self, now: Time) -> Option<&Ticket> {
+        let first = self.next_feasible(now, |_| true)?;
+        if self.link_allows(now, first) {
+            return Some(first);
         }
-        let credited = ranked()
-            .filter(|(rank, _)| self.has_credit(*rank))
-            .max_by(|(a, _), (b, _)| self.credit[*a as usize].total_cmp(&self.credit[*b as usize]));
-        credited.or_else(|| ranked().next())
+        self.next_feasible(now, |ticket| !self.link.limits(ticket))
     }
 
-    /// Returns the first request of a rank that can still meet its deadline.
-    pub(super) fn first_feasible(&self, now: Time, rank: Rank) -> Option<u64> {
-        let needed = Duration::from_secs_f64(self.times.mean(rank));
-        let mut tickets = self.waiting.tickets(rank);
-        tickets.find(|ticket| now + needed <= ticket.deadline).map(|ticket| ticket.attempt)
+    /// Returns the next of the feasible requests that may start.
+    pub(super) fn next_feasible(
+        &self,
+        now: Time,
+        may: impl Fn(&Ticket) -> bool,
+    ) -> Option<&Ticket> {
+        let heads = RANKS.map(|rank| self.first_feasible(now, rank, &may));
+        if heads[0].is_some() {
+            return heads[0];
+        }
+        let waiting = || heads.into_iter().flatten();
+        let credit = |ticket: &Ticket| self.credit[ticket.rank as usize];
+        let credited = waiting()
+            .filter(|ticket| self.has_credit(ticket.rank))
+            .max_by(|a, b| credit(a).total_cmp(&credit(b)));
+        credited.or_else(|| waiting().next())
+    }
+
+    /// Returns the first request of a rank that may start and can still meet its deadline.
+    fn first_feasible(
+        &self,
+        now: Time,
+        rank: Rank,
+        may: impl Fn(&Ticket) -> bool,
+    ) -> Option<&Ticket> {
+        let ready = now + Duration::from_secs_f64(self.times.mean(rank));
+        let owed = self.link.owed();
+        let in_time = |ticket: &Ticket| self.arrival(now, ready, owed, ticket) <= ticket.deadline;
+        self.waiting.first_of(rank, |ticket| may(ticket) && in_time(ticket))
     }
 
     /// Returns true when a rank is owed at least the slot time of one of its requests.
--- a/acaciaring_core/src/admission/service.rs
+++ b/acaciaring_core/src/admission/service.rs
@@ -15,13 +15,23 @@
 const MIN_MEAN_SECS: f64 = 1e-5;
 
 #[derive(Debug, Clone, Copy)]
-struct Smoothed {
+pub(super) struct Smoothed {
     mean: f64,
     deviation: f64,
 }
 
 impl Smoothed {
-    fn sample(&mut self, value: f64) {
+    /// Returns the estimate to which the first value is then added as a sample.
+    pub(super) fn first(value: f64) -> Self {
+        Self { mean: value, deviation: value / 2.0 }
+    }
+
+    /// Returns the mean plus a number of mean deviations.
+    pub(super) fn upper(self, deviations: f64) -> f64 {
+        self.mean + deviations * self.deviation
+    }
+
+    pub(super) fn sample(&mut self, value: f64) {
         let error = value - self.mean;
         self.mean += MEAN_WEIGHT * error;
         self.deviation += DEVIATION_WEIGHT * (error.abs() - self.deviation);
@@ -60,8 +70,7 @@
         };
         if counts {
             self.all.sample(took);
-            let first = Smoothed { mean: took, deviation: took / 2.0 };
-            self.ranks[rank as usize].get_or_insert(first).sample(took);
+            self.ranks[rank as usize].get_or_insert(Smoothed::first(took)).sample(took);
         }
     }
 
@@ -87,8 +96,7 @@
 
     /// Returns the mean of a rank plus a number of mean deviations.
     pub(super) fn upper_estimate(&self, rank: Rank, deviations: f64) -> Duration {
-        let Smoothed { mean, deviation } = self.smoothed(rank);
-        Duration::from_secs_f64(mean + deviations * deviation)
+        Duration::from_secs_f64(self.smoothed(rank).upper(deviations))
     }
 
     fn smoothed(&self, rank: Rank) -> Smoothed {
--- a/acaciaring_core/src/admission/settings.rs
+++ b/acaciaring_core/src/admission/settings.rs
@@ -34,6 +34,8 @@
     ///
     /// Guards against an upstream that asks for hours by mistake and would look unavailable.
     pub max_shed: Duration,
+    /// Bytes per second that the link of this VM carries, 0 for no limit.
+    pub link_rate: u64,
 }
 
 impl Default for AdmissionSettings {
@@ -49,6 +51,7 @@
             reserved: [0, 0, 8, 8],
             min_retry: Duration::from_millis(50),
             max_shed: Duration::from_secs(30),
+            link_rate: 0,
         }
     }
 }
--- a/acaciaring_core/tests/admission.rs
+++ b/acaciaring_core/tests/admission.rs
@@ -253,7 +253,7 @@
 
 /// Returns the ticket of a request that expires at its deadline.
 fn ticket(rank: Rank, deadline: Time, attempt: u64) -> Ticket {
-    Ticket { rank, deadline, expiry: deadline, attempt }
+    Ticket { rank, deadline, expiry: deadline, attempt, answer: 0 }
 }
 
 // Guards against an overload in which requests served in order of arrival are all late: those that
@@ -286,7 +286,7 @@
         }
         arrived.insert(attempt, now);
         let (deadline, last) = (now + ms(300), now + ms(1200));
-        let ticket = Ticket { rank: Rank::Bulk, deadline, expiry: last, attempt };
+        let ticket = Ticket { rank: Rank::Bulk, deadline, expiry: last, attempt, answer: 0 };
         if let Offer::Start(id) = admission.offer(now, ticket, attempt) {
             started += 1;
             in_time += 1;
--- a/acaciaring_core/tests/admission_cold.rs
+++ b/acaciaring_core/tests/admission_cold.rs
@@ -73,6 +73,7 @@
                     deadline: at + ms(600),
                     expiry: at + ms(2500),
                     attempt: now,
+                    answer: 0,
                 };
                 match self.admission.offer(at, ticket, now) {
                     Offer::Start(attempt) => self.start(now, vec![attempt]),
--- a/acaciaring_core/tests/admission_property.rs
+++ b/acaciaring_core/tests/admission_property.rs
@@ -90,7 +90,8 @@
                 Step::Offer { rank, left } => {
                     attempt += 1;
                     let deadline = now + Duration::from_millis(left);
-                    let ticket = Ticket { rank: RANKS[rank], deadline, expiry: deadline, attempt };
+                    let rank = RANKS[rank];
+                    let ticket = Ticket { rank, deadline, expiry: deadline, attempt, answer: 0 };
                     ledger.0.insert(attempt, Status::Waiting);
                     match admission.offer(now, ticket, attempt) {
                         Offer::Start(item) => started.push(item),
--- a/acaciaring_core/tests/admission_rate.rs
+++ b/acaciaring_core/tests/admission_rate.rs
@@ -32,7 +32,7 @@
     for now in 0..OFFERED_MS {
         let at = Time::from_millis(now);
         let (deadline, expiry) = (at + ms(250), at + ms(1000));
-        let ticket = Ticket { rank: rank(now), deadline, expiry, attempt: now };
+        let ticket = Ticket { rank: rank(now), deadline, expiry, attempt: now, answer: 0 };
         let mut starts = admission.start_due(at);
         match admission.offer(at, ticket, now) {
             Offer::Start(attempt) => starts.push(attempt),
@@ -113,6 +113,7 @@
         deadline: later + ms(250),
         expiry: later + ms(1000),
         attempt,
+        answer: 0,
     };
     for attempt in 0..16 {
         let offer = admission.offer(later, ticket(OFFERED_MS + attempt), attempt);
--- a/acaciaring_core/tests/support/upstream.rs
+++ b/acaciaring_core/tests/support/upstream.rs
@@ -211,7 +211,7 @@
         let stream = self.streams[request.stream];
         self.tallies[request.stream].attempts += 1;
         let deadline = request.arrived + stream.deadline;
-        let ticket = Ticket { rank: stream.rank, deadline, expiry: deadline, attempt };
+        let ticket = Ticket { rank: stream.rank, deadline, expiry: deadline, attempt, answer: 0 };
         let left = deadline.since(now);
         let slack = Slack { rank: stream.rank, aim: left, left, large: false };
         let retry = self
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -85,6 +85,7 @@
     AdmissionSettings {
         slots: settings.limits.slots,
         queue: settings.limits.queue as usize,
+        link_rate: link_rate(settings.peer.link),
         ..AdmissionSettings::default()
     }
 }
--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use acaciaring_core::admission::Ticket;
-use acaciaring_core::{Fingerprint, Reason, Refusal, Time};
+use acaciaring_core::{Fingerprint, Name, Reason, Refusal, Time};
 use acaciaring_schema::peer::{Answer, Request};
 use tracing::info;
 
@@ -34,8 +34,13 @@
         grant: Option<Grant>,
     ) -> Result<Answer, Refusal> {
         let _turn = self.isolate(job).await?;
-        let attempt = job.request.attempt;
-        let ticket = Ticket { rank: job.rank, deadline: job.aim, expiry: job.deadline, attempt };
+        let ticket = Ticket {
+            rank: job.rank,
+            deadline: job.aim,
+            expiry: job.deadline,
+            attempt: job.request.attempt,
+            answer: self.expected_answer(job),
+        };
         let moved = self.moved(job, grant);
         let permit = self.queue.enter(ticket, job.cancelled, moved).await?;
         let view = self.shared.view();
@@ -49,10 +54,30 @@
         }
         let sent = clock::now();
         let result = self.send(job, endpoint, fence).await;
+        if let Ok(answer) = &result {
+            self.record_answer(job, answer);
+        }
         permit.finish(&result);
         self.check_crash(job, endpoint, sent, result).await
     }
 
+    /// Returns the expected bytes of a large answer, 0 for a class without large answers.
+    fn expected_answer(&self, job: &Job<'_>) -> u64 {
+        if !job.request.large {
+            return 0;
+        }
+        let class = Name::from(job.request.class.as_str());
+        self.sizes.lock().expected(&job.workspace, &class)
+    }
+
+    /// Records the size of an answer of a class with large answers.
+    fn record_answer(&self, job: &Job<'_>, answer: &Answer) {
+        if job.request.large {
+            let class = Name::from(job.request.class.as_str());
+            self.sizes.lock().record(&job.workspace, &class, answer.body.len() as u64);
+        }
+    }
+
     /// Completes when the unit is no longer served here.
     ///
     /// Guards against slow handovers of busy units: queued requests leave the queue at once, so the
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -10,9 +10,10 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use acaciaring_core::admission::{AdmissionSettings, ColdLimit};
+use acaciaring_core::admission::{AdmissionSettings, AnswerSizes, ColdLimit};
 use acaciaring_core::rates::{RateSettings, RequestRates};
 use acaciaring_core::route::{Division, Rank, Repeat};
 use acaciaring_core::{
@@ -82,6 +83,8 @@
     pub(crate) outbox: Outbox,
     pub(crate) metrics: Metrics,
     pub(crate) events: Sender<Event>,
+    /// Bytes of finished large answers that wait for the link or are being sent.
+    pub(crate) backlog: Arc<AtomicU64>,
 }
 
 /// Gate in front of the local upstream.
@@ -89,6 +92,7 @@
     shared: Arc<Shared>,
     upstream_client: Arc<dyn UpstreamClient>,
     queue: Queue,
+    sizes: Mutex<AnswerSizes>,
     /// Requests that crash upstreams.
     quarantine: Arc<Quarantine>,
     crashes: Arc<CrashMonitor>,
@@ -122,15 +126,16 @@
     /// Creates a gate.
     pub(crate) fn new(settings: GateSettings, context: GateContext) -> Self {
         let GateSettings { admission, rate_settings } = settings;
-        let GateContext { shared, upstream_client, quarantine, transport, outbox, metrics, events } =
-            context;
-        let queue = Queue::new(admission, metrics.clone());
+        let GateContext { shared, upstream_client, quarantine, transport, .. } = context;
+        let GateContext { outbox, metrics, events, backlog, .. } = context;
+        let queue = Queue::new(admission, metrics.clone(), backlog);
         let runtime = transport.runtime().clone();
         let crashes = CrashMonitor::new(Arc::clone(&quarantine), runtime, metrics.clone());
         Self {
             shared,
             upstream_client,
             queue,
+            sizes: Mutex::default(),
             quarantine,
             crashes: Arc::new(crashes),
             notices: Notices::default(),
--- a/acaciaringd/src/gate/queue.rs
+++ b/acaciaringd/src/gate/queue.rs
@@ -1,7 +1,8 @@
 //! Admission queue of requests to the local upstream.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use acaciaring_core::admission::{
@@ -10,7 +11,8 @@
 use acaciaring_core::route::Rank;
 use acaciaring_core::{Reason, Refusal, Time, Verdict};
 use acaciaring_schema::peer::Answer;
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::Notify;
 use tokio::sync::oneshot::{self, Receiver, Sender};
 use tokio::time::sleep;
 
@@ -38,6 +40,13 @@
     announced: Mutex<Option<Announced>>,
     /// True while a queued request sweeps the queue.
     sweeping: AtomicBool,
+    /// Passes the sweep on while requests wait for the link.
+    ///
+    /// Guards against a link that idles for up to [`WAIT_INTERVAL`] once the request that swept
+    /// has left the queue.
+    turn: Notify,
+    /// Bytes of finished large answers that wait for the link or are being sent.
+    backlog: Arc<AtomicU64>,
 }
 
 /// Last announcement of the upstream, as far as it concerns the queue.
@@ -53,16 +62,31 @@
     queue: &'a Queue,
     attempt: u64,
     start: Time,
+    /// True if the request has a large answer.
+    large: bool,
     finished: bool,
 }
 
 impl Queue {
     /// Creates an empty queue.
-    pub(crate) fn new(settings: AdmissionSettings, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        settings: AdmissionSettings,
+        metrics: Metrics,
+        backlog: Arc<AtomicU64>,
+    ) -> Self {
         let slots = settings.slots;
         let admission = Mutex::new(Admission::new(settings));
         let sweeping = AtomicBool::new(false);
-        Self { admission, metrics, slots, announced: Mutex::default(), sweeping }
+        let (announced, turn) = (Mutex::default(), Notify::new());
+        Self { admission, metrics, slots, announced, sweeping, turn, backlog }
+    }
+
+    /// Returns admission for a decision by the present backlog of the link, to which `finished`
+    /// bytes are added.
+    fn decide(&self, finished: u64) -> MutexGuard<'_, Admission<Sender<Decision>>> {
+        let mut admission = self.admission.lock();
+        admission.set_backlog(self.backlog.load(Ordering::Relaxed).saturating_add(finished));
+        admission
     }
 
     /// Returns the number of requests running or queued, and the concurrency limit.
@@ -103,12 +127,12 @@
         let latest = Announced { address: announcement.address, slots, cold };
         let known = self.announced.lock().replace(latest);
         if known.is_none_or(|known| known.slots != slots) {
-            let started = self.admission.lock().resize(now, slots);
+            let started = self.decide(0).resize(now, slots);
             start(started);
         }
         // A cold upstream that becomes ready continues its ramp.
         if known.is_none_or(|known| known.address != latest.address || (cold && !known.cold)) {
-            let started = self.admission.lock().ready(now, cold);
+            let started = self.decide(0).ready(now, cold);
             start(started);
         }
     }
@@ -145,14 +169,14 @@
         moved: impl Future<Output = Refusal>,
     ) -> Result<ConcurrencyPermit<'_>, Refusal> {
         let (sender, decision) = oneshot::channel();
-        let attempt = ticket.attempt;
+        let (attempt, large) = (ticket.attempt, ticket.answer > 0);
         let now = clock::now();
-        let offer = self.admission.lock().offer(now, ticket, sender);
+        let offer = self.decide(0).offer(now, ticket, sender);
         match offer {
             Offer::Start(_) => {}
             Offer::Queued { displaced } => {
                 refuse(displaced);
-                let waiting = Waiting { queue: self, attempt, done: false };
+                let waiting = Waiting { queue: self, attempt, done: false, sweeps: false };
                 tokio::select! {
                     biased;
                     decided = waiting.wait(decision, ticket.expiry, cancelled) => decided?,
@@ -161,44 +185,61 @@
             }
             Offer::Refused(_, refusal) => return Err(refusal),
         }
-        Ok(ConcurrencyPermit { queue: self, attempt, start: clock::now(), finished: false })
+        let start = clock::now();
+        Ok(ConcurrencyPermit { queue: self, attempt, start, large, finished: false })
     }
 
     /// Limits the requests per second at the upstream; `None` ends the limit.
     pub(crate) fn limit_rate(&self, now: Time, limit: Option<f64>) {
-        let started = self.admission.lock().limit_rate(now, limit);
+        let started = self.decide(0).limit_rate(now, limit);
         start(started);
     }
 
     /// Limits the requests per second at a cold upstream; `None` for a warm one.
     pub(crate) fn limit_cold(&self, now: Time, limit: Option<ColdLimit>) {
-        let started = self.admission.lock().limit_cold(now, limit);
+        let started = self.decide(0).limit_cold(now, limit);
         start(started);
     }
 
-    /// Starts the requests that the rate limit allows by now, and refuses expired ones.
+    /// Starts the requests that the rate limit and the link allow by now, and refuses expired ones.
     fn sweep(&self, now: Time) {
-        let started = self.admission.lock().start_due(now);
+        let started = self.decide(0).start_due(now);
         start(started);
-        self.refuse_expired(now);
+        self.refuse_expired(now, 0);
     }
 
     /// Refuses expired requests in the queue.
-    fn refuse_expired(&self, now: Time) {
-        let expired = self.admission.lock().expire(now);
+    fn refuse_expired(&self, now: Time, finished: u64) {
+        let expired = self.decide(finished).expire(now);
         refuse(expired);
     }
 
-    fn finish(&self, attempt: u64, took: Duration, completion: Completion, shed: Option<Duration>) {
+    fn finish(&self, attempt: u64, took: Duration, end: End) {
         let now = clock::now();
         let (refused, started) = {
-            let mut admission = self.admission.lock();
-            let refused = shed.map(|retry| admission.shed(now, retry));
-            (refused, admission.finish(now, attempt, took, completion))
+            let mut admission = self.decide(end.answer);
+            let refused = end.shed.map(|retry| admission.shed(now, retry));
+            (refused, admission.finish(now, attempt, took, end.completion))
         };
         refuse(refused.into_iter().flatten());
         start(started);
-        self.refuse_expired(now);
+        self.refuse_expired(now, end.answer);
+    }
+}
+
+/// How a request at the upstream ended.
+#[derive(Clone, Copy)]
+struct End {
+    completion: Completion,
+    /// Time for which the upstream asks to be left alone.
+    shed: Option<Duration>,
+    /// Bytes of a large answer, which the backlog does not include yet.
+    answer: u64,
+}
+
+impl End {
+    fn new(completion: Completion) -> Self {
+        Self { completion, shed: None, answer: 0 }
     }
 }
 
@@ -227,6 +268,8 @@
     attempt: u64,
     /// True once the request has left the queue or was admitted.
     done: bool,
+    /// True while this request sweeps the queue.
+    sweeps: bool,
 }
 
 impl Waiting<'_> {
@@ -239,7 +282,8 @@
     ) -> Result<(), Refusal> {
         loop {
             let sweep = SweepGuard::try_acquire(&self.queue.sweeping);
-            let pause = if sweep.is_some() { SWEEP_INTERVAL } else { WAIT_INTERVAL };
+            self.sweeps = sweep.is_some();
+            let pause = if self.sweeps { SWEEP_INTERVAL } else { WAIT_INTERVAL };
             let pause = pause.min(deadline.since(clock::now()));
             tokio::select! {
                 biased;
@@ -248,6 +292,7 @@
                     return decision.unwrap_or(Err(Refusal::not_run(Reason::Busy)));
                 }
                 () = cancelled.cancelled() => {}
+                () = self.queue.turn.notified(), if !self.sweeps => {}
                 () = sleep(pause) => {}
             }
             let now = clock::now();
@@ -270,12 +315,14 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        if self.done {
-            return;
+        if !self.done {
+            let now = clock::now();
+            if self.queue.admission.lock().cancel(now, self.attempt).is_none() {
+                self.queue.finish(self.attempt, Duration::ZERO, End::new(Completion::Refused));
+            }
         }
-        let now = clock::now();
-        if self.queue.admission.lock().cancel(now, self.attempt).is_none() {
-            self.queue.finish(self.attempt, Duration::ZERO, Completion::Refused, None);
+        if self.sweeps && self.queue.admission.lock().waits_for_link() {
+            self.queue.turn.notify_one();
         }
     }
 }
@@ -298,33 +345,39 @@
 impl ConcurrencyPermit<'_> {
     /// Releases the permit with the result of the request.
     pub(crate) fn finish(mut self, result: &Result<Answer, Refusal>) {
-        let (completion, shed) = match result {
-            Ok(_) => (Completion::Answered, None),
+        let end = match result {
+            Ok(answer) => {
+                let answer = if self.large { answer.body.len() as u64 } else { 0 };
+                End { answer, ..End::new(Completion::Answered) }
+            }
             Err(Refusal { reason: Reason::Busy | Reason::Shed, retry, .. }) => {
-                (Completion::Refused, *retry)
+                End { shed: *retry, ..End::new(Completion::Refused) }
             }
-            Err(Refusal { verdict: Verdict::NotRun, .. }) => (Completion::Refused, None),
-            Err(_) => (Completion::Unanswered, None),
+            Err(Refusal { verdict: Verdict::NotRun, .. }) => End::new(Completion::Refused),
+            Err(_) => End::new(Completion::Unanswered),
         };
-        self.release(completion, shed);
+        self.release(end);
     }
 
-    fn release(&mut self, completion: Completion, shed: Option<Duration>) {
+    fn release(&mut self, end: End) {
         if self.finished {
             return;
         }
         self.finished = true;
         let took = clock::now().since(self.start);
-        self.queue.finish(self.attempt, took, completion, shed);
+        self.queue.finish(self.attempt, took, end);
     }
 }
 
 impl Drop for ConcurrencyPermit<'_> {
     fn drop(&mut self) {
-        self.release(Completion::Unanswered, None);
+        self.release(End::new(Completion::Unanswered));
     }
 }
 
 fn count(value: usize) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
+
+#[cfg(test)]
+mod tests;
