--- a/acaciaringd/src/gate/forward.rs
+++ b/acaciaringd/src/gate/forward.rs
@@ -88,6 +88,7 @@
             fence,
             trace: request.trace.clone(),
             instance: Arc::clone(&endpoint.instance),
+            repeat: job.repeat,
         };
         let start = clock::now();
         let UpstreamReply { result, notice } = self.upstream_client.send(call, job.cancelled).await;
--- a/acaciaringd/src/upstream/client.rs
+++ b/acaciaringd/src/upstream/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use acaciaring_core::orders::{Answer, Order};
+use acaciaring_core::route::Repeat;
 use acaciaring_core::{Reason, Refusal, RequestId, Time, Verdict};
 use tokio::task::spawn_blocking;
 use tracing::error;
@@ -40,6 +41,8 @@
     pub trace: String,
     /// Identifier of the addressed instance of the upstream, empty if it has none.
     pub instance: Arc<str>,
+    /// How often the request may run.
+    pub repeat: Repeat,
 }
 
 /// Order to the upstream to hold keys or to release them.
