Test restarts of upstreams whose heartbeats carry what they hold

An upstream may restart under its ID with its sequence from the start and a higher `born`.

One rule was not kept: a report of an incarnation before a known one was late only while that one was the current one. Once a server with another ID had taken its place and was silent, two such reports made the old incarnation the current one. It is late now. The test a_report_from_before_a_known_restart_stays_late_under_another_name fails before the change (NewIncarnation in place of Stale) and passes after it.

--- a/acaciaring_core/src/holds/incarnation.rs
+++ b/acaciaring_core/src/holds/incarnation.rs
@@ -137,11 +137,10 @@
         report
     }
 
-    /// Returns true for an incarnation that a later one has replaced.
+    /// Returns true for an incarnation that a later one has replaced, also one that was never seen.
     fn is_stale(&self, incarnation: &Incarnation) -> bool {
-        let current = self.current.as_ref();
-        self.former.contains(incarnation)
-            || current.is_some_and(|current| current.follows(incarnation))
+        let later = |known: &Incarnation| known.follows(incarnation);
+        self.former.contains(incarnation) || self.former.iter().chain(&self.current).any(later)
     }
 
     /// Returns true when another incarnation is known to have replaced the current one.
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -190,6 +190,60 @@
     assert!(may_hold(&holds, at(1900), 1));
 }
 
+fn restart(born: u64) -> Incarnation {
+    Incarnation { generation: born, ..first_incarnation() }
+}
+
+/// Guards against an upstream that restarts under its name and counts as the holder of what it held
+/// before, is granted it under the same token, or holds nothing more after a late report.
+#[test]
+fn an_upstream_that_restarts_holds_nothing_and_gets_higher_tokens() {
+    let mut holds = Holds::new(at(0), HOLD);
+    let (former, present) = (restart(1_700_000_000_000), restart(1_700_000_009_000));
+    let want = [wanted(1, 7)];
+    for number in 0..3 {
+        let now = at(number * 900);
+        let known = if number == 0 { Vec::new() } else { vec![held(1, 7)] };
+        holds.report(now, &former, 500 + number, known, Vec::new());
+        holds.grant(now, now + HOLD * 2, &want, ROOM).expect("granted");
+    }
+    assert!(holds.serves(at(1900), UNIT, Token(7)));
+    let report = holds.report(at(2000), &present, 0, Vec::new(), Vec::new());
+    assert_eq!(report, ReportOutcome::NewIncarnation, "its sequence starts again");
+    assert!(!may_hold(&holds, at(2000), 1) && !holds.may_hold_any(at(2000)));
+    assert!(!holds.serves(at(2000), UNIT, Token(7)));
+    let (rows, _) = holds.grant(at(2000), at(2000) + HOLD * 2, &want, ROOM).expect("granted");
+    assert!(rows[0].token > fenced(7), "{rows:?}");
+    let row = Held { token: rows[0].token, ..held(1, 7) };
+    for (sequence, known) in [(503, vec![held(1, 7)]), (504, Vec::new()), (505, Vec::new())] {
+        let report = holds.report(at(2100 + sequence), &former, sequence, known, vec![freed(1)]);
+        assert_eq!(report, ReportOutcome::Stale, "sent before the restart");
+        assert!(may_hold(&holds, at(2100 + sequence), 1));
+    }
+    let report = holds.report(at(2900), &present, 1, vec![row], Vec::new());
+    assert_eq!(report, ReportOutcome::Current);
+    assert!(holds.serves(at(2900), UNIT, Token(7)));
+}
+
+/// Guards against late reports of an upstream that two others have followed, under its own name and
+/// then under another one, while the present one is silent.
+#[test]
+fn a_report_from_before_a_known_restart_stays_late_under_another_name() {
+    let mut holds = Holds::new(at(0), HOLD);
+    holds.report(at(0), &restart(5), 1, Vec::new(), Vec::new());
+    let other = incarnation("i-2");
+    holds.report(at(900), &other, 1, Vec::new(), Vec::new());
+    let report = holds.report(at(1800), &other, 2, Vec::new(), Vec::new());
+    assert_eq!(report, ReportOutcome::NewIncarnation);
+    for number in 0..4 {
+        let report = holds.report(at(2700 + number * 900), &restart(4), number, Vec::new(), vec![]);
+        assert_eq!(report, ReportOutcome::Stale, "report {number}");
+    }
+    holds.report(at(7000), &restart(6), 1, Vec::new(), Vec::new());
+    let report = holds.report(at(7900), &restart(6), 2, Vec::new(), Vec::new());
+    assert_eq!(report, ReportOutcome::NewIncarnation, "a later restart takes the place");
+}
+
 /// Guards against ranges that are dropped and granted in turn when an upstream owns more than fit
 /// in a reply.
 #[test]
