--- a/acaciaringd/src/declared.rs
+++ b/acaciaringd/src/declared.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::error::Error;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +52,8 @@
     pub version: u64,
     /// Routes of all workspaces.
     pub routes: Routes,
+    /// Workspaces that the declaration names.
+    pub services: Vec<Name>,
     /// Workspaces whose services are partitioned by key.
     pub keyed: Vec<Name>,
     /// Requests per second that a cold upstream tolerates, by workspace.
@@ -80,6 +83,8 @@
 pub struct Declarations {
     decoder: Option<Box<dyn Decoder>>,
     newest: ArcSwapOption<Newest>,
+    /// Hash of the last content that was refused as invalid.
+    refused: Mutex<Option<u64>>,
     /// Held while the version of a declaration is compared and the declaration installed.
     install_lock: Mutex<()>,
     evacuations: Mutex<Evacuations>,
@@ -102,12 +107,19 @@
     }
 }
 
+fn hash(content: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    content.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Declarations {
     /// Creates an empty store; without a decoder, all declarations are ignored.
     pub(crate) fn new(decoder: Option<Box<dyn Decoder>>, events: Sender<Event>) -> Self {
         Self {
             decoder,
             newest: ArcSwapOption::empty(),
+            refused: Mutex::default(),
             install_lock: Mutex::new(()),
             evacuations: Mutex::default(),
             events,
@@ -120,11 +132,14 @@
         let declared = match decoder.decode(content) {
             Ok(declared) => Arc::new(declared),
             Err(error) => {
-                error!(
-                    source,
-                    error = &*error as &dyn Error,
-                    "ignoring invalid declared configuration"
-                );
+                // The source is read again now and then, with the same content.
+                if self.refused.lock().replace(hash(content)) != Some(hash(content)) {
+                    error!(
+                        source,
+                        error = &*error as &dyn Error,
+                        "ignoring invalid declared configuration"
+                    );
+                }
                 return;
             }
         };
