--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -161,7 +161,7 @@
             outbox: outbox.clone(),
             metrics: metrics.clone(),
             events: events.clone(),
-            backlog: Arc::default(),
+            backlog: transport.egress().backlog_counter(),
         };
         let gate = Arc::new(Gate::new(options::gate_settings(settings), gate_context));
         deferred.set(PeerHandler {
