Accept sizes in GiB

The bound of a coming setting is 16 GiB, and the parser of sizes knew nothing above MiB. The largest number before a unit times 1 GiB fits a u64. The test of sizes covers the unit.

--- a/acaciaring_codegen/src/page.rs
+++ b/acaciaring_codegen/src/page.rs
@@ -12,7 +12,7 @@
 and key; `acaciaringd --config FILE --check` does only that. Unknown sections
 and keys are faults. Lines that start with `;` or `#` are comments; a comment
 cannot follow a value. Durations are whole numbers with `ms`, `s` or `min`, sizes
-with `B`, `KiB` or `MiB`. An example is [acaciaringd.ini](../extra/acaciaringd.ini).
+with `B`, `KiB`, `MiB` or `GiB`. An example is [acaciaringd.ini](../extra/acaciaringd.ini).
 
 These rules join several settings:
 
--- a/acaciaring_core/tests/route.rs
+++ b/acaciaring_core/tests/route.rs
@@ -290,6 +290,7 @@
     assert_eq!(parse_duration("250ms"), Ok(Duration::from_millis(250)));
     assert_eq!(parse_duration("10 min"), Ok(Duration::from_mins(10)));
     assert_eq!(parse_size("4MiB"), Ok(4 << 20));
+    assert_eq!(parse_size("16GiB"), Ok(16 << 30));
     assert_eq!(parse_size("512"), Ok(512));
     for text in ["", "ms", "1", "-1s", "1.5s", "+1s", "99999999999s"] {
         assert!(parse_duration(text).is_err(), "{text}");
--- a/acaciaring_schema/src/quantity.rs
+++ b/acaciaring_schema/src/quantity.rs
@@ -8,7 +8,8 @@
 const DURATION_UNITS: [(&str, u64); 3] = [("ms", 1), ("min", 60_000), ("s", 1_000)];
 
 /// Bytes per unit; a suffix precedes any shorter suffix of itself, so that it matches first.
-const SIZE_UNITS: [(&str, u64); 4] = [("KiB", 1 << 10), ("MiB", 1 << 20), ("B", 1), ("", 1)];
+const SIZE_UNITS: [(&str, u64); 5] =
+    [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1), ("", 1)];
 
 /// Maximum number before a unit, so that the product with any unit fits a `u64`.
 const NUMBER_MAX: u64 = u32::MAX as u64;
@@ -37,13 +38,14 @@
     Ok(Duration::from_millis(millis))
 }
 
-/// Parses a size into bytes: a whole number, optionally followed by `B`, `KiB` or `MiB`.
+/// Parses a size into bytes: a whole number, optionally followed by `B`, `KiB`, `MiB` or
+/// `GiB`.
 ///
 /// # Errors
 ///
 /// Fails when the unit is unknown, or the number is not whole or exceeds `u32::MAX`.
 pub fn parse_size(text: &str) -> Result<u64, QuantityError> {
-    parse(text, &SIZE_UNITS, "B, KiB or MiB")
+    parse(text, &SIZE_UNITS, "B, KiB, MiB or GiB")
 }
 
 fn parse(text: &str, known: &[(&str, u64)], units: &'static str) -> Result<u64, QuantityError> {
