Limit the answer bytes held for slow readers

Answers that callers do not read stay in memory until they are written or their connections end, and nothing counted them: with large answers, a few dozen callers that stop reading hold as much memory as the process may use.

A body is counted from the moment it is handed to its connection until its memory is released, and so are bytes of incomplete answers of the local upstream; the built-in entry counts an answer while it writes it. The body keeps its guard as its owner (`Bytes::from_owner`), so the count returns to zero however the connection ends. Above `limits.held` an entry refuses requests of classes with large answers as `busy`, not run, to come back after 1 s. The gauge `web.held`, the counter `requests.held_up` and a log line tell of it.

A connection holds one answer: hyper polls the next request of a connection only once the former answer has left its queue. A test guards this. Tests with sockets: callers that read nothing, leave midway, pipeline, or read 16 MiB over 12 s (more than the 10 s without progress after which a connection is closed) and get all of it; the count is zero after each.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dedup;
 pub mod evacuation;
 pub mod fanout;
+pub mod held_limit;
 pub mod holds;
 mod id;
 pub mod lag;
--- a/acaciaringd/src/daemon/adapters.rs
+++ b/acaciaringd/src/daemon/adapters.rs
@@ -15,6 +15,7 @@
 use crate::poll_wait::PollWait;
 use crate::router::Router;
 use crate::upstream::UpstreamClient;
+use crate::web::HeldBytes;
 
 /// Failure of an adapter.
 pub type AdapterError = Box<dyn Error + Send + Sync>;
@@ -24,8 +25,8 @@
     /// Returns the client of the log service.
     fn log(&self, runtime: &Handle) -> Arc<dyn LogService>;
 
-    /// Returns the client of the upstream.
-    fn upstream_client(&self) -> Arc<dyn UpstreamClient>;
+    /// Returns the client of the upstream, which counts the bytes of incomplete answers.
+    fn upstream_client(&self, held: &HeldBytes) -> Arc<dyn UpstreamClient>;
 
     /// Returns the decoder of declared configurations, `None` if the configuration is in the log.
     fn decoder(&self) -> Option<Box<dyn Decoder>>;
@@ -86,6 +87,12 @@
         self.router.count_verdict(verdict);
     }
 
+    /// Returns the count of held answer bytes, which listeners for callers must keep up to date.
+    #[must_use]
+    pub fn held(&self) -> &HeldBytes {
+        &self.router.held.bytes
+    }
+
     /// Returns true while this member is ready for callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/acaciaringd/src/daemon/builtin.rs
+++ b/acaciaringd/src/daemon/builtin.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::platform::LogService;
 use crate::upstream::{ThreadedClient, Upstream, UpstreamClient, UpstreamSettings};
+use crate::web::HeldBytes;
 
 /// Adapters that are configured by the settings file alone.
 pub(super) struct BuiltinAdapters<'a> {
@@ -28,7 +29,7 @@
         Arc::new(options::log_client(self.settings).metered(self.metrics.clone()))
     }
 
-    fn upstream_client(&self) -> Arc<dyn UpstreamClient> {
+    fn upstream_client(&self, _held: &HeldBytes) -> Arc<dyn UpstreamClient> {
         let limits = &self.settings.limits;
         Arc::new(ThreadedClient::new(Upstream::new(UpstreamSettings {
             connections: limits.connections as usize,
@@ -84,4 +85,8 @@
     fn record_verdict(&self, verdict: Verdict) {
         self.front.record_verdict(verdict);
     }
+
+    fn held(&self) -> HeldBytes {
+        self.front.held().clone()
+    }
 }
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -41,7 +41,8 @@
 use crate::reader;
 use crate::recent_records::RecentRecords;
 use crate::router::{
-    Outages, PendingRequests, Router, Suspects, TimeoutHistory, TrafficSplits, WaitLimit,
+    HeldAnswers, Outages, PendingRequests, Router, Suspects, TimeoutHistory, TrafficSplits,
+    WaitLimit,
 };
 use crate::view::Shared;
 use crate::web::{self, WebError};
@@ -150,7 +151,7 @@
         let page = address.map(|address| page(address, &metrics, &transport)).transpose()?;
         let log = adapters.log(transport.runtime());
         let outbox = Outbox::new(&transport);
-        let upstream_client = adapters.upstream_client();
+        let upstream_client = adapters.upstream_client(&shared.held);
         let quarantine =
             Arc::new(Quarantine::new(Arc::clone(&shared), transport.clone(), metrics.clone()));
         quarantine.start();
@@ -312,6 +313,7 @@
         declarations: Arc::clone(declarations),
         log_limit: LogLimiter::new(MAX_LOG_LINES),
         late_limit: LogLimiter::new(MAX_LATE_LOG_LINES),
+        held: HeldAnswers::new(shared.held.clone(), settings.limits.held),
         lag_monitor: LagMonitor::start(transport.runtime()),
     })
 }
--- a/acaciaringd/src/entry/mod.rs
+++ b/acaciaringd/src/entry/mod.rs
@@ -51,6 +51,7 @@
 pub use crate::entry::request::EntryRequest;
 use crate::entry::worker::Pool;
 pub use crate::header::Headers;
+use crate::web::HeldBytes;
 
 /// Settings of the entry.
 #[derive(Debug, Clone)]
@@ -105,6 +106,11 @@
 
     /// Called with the verdict of each request, including those refused by the entry.
     fn record_verdict(&self, _verdict: Verdict) {}
+
+    /// Returns the count of answer bytes, which includes an answer while it is written.
+    fn held(&self) -> HeldBytes {
+        HeldBytes::default()
+    }
 }
 
 /// Running HTTP server for callers.
--- a/acaciaringd/src/entry/worker.rs
+++ b/acaciaringd/src/entry/worker.rs
@@ -182,6 +182,7 @@
         let remote = raw.remote_addr().copied();
         let head = *raw.method() == tiny_http::Method::Head;
         let bytes = answer.encode(head, self.draining.load(Ordering::SeqCst));
+        let _held = self.service.0.held().hold(bytes.len());
         let mut writer: connection::Writer = raw.into_writer();
         let Err(error) = connection::send(&mut writer, &bytes, self.settings.read) else {
             return;
--- a/acaciaringd/src/gauges.rs
+++ b/acaciaringd/src/gauges.rs
@@ -35,6 +35,7 @@
     metrics.gauge(Gauge::DedupEntries, gate.dedup.len() as u64);
     let held = clock::now() < shared.lease.get();
     metrics.gauge(Gauge::LeaseHeld, u64::from(held));
+    metrics.gauge(Gauge::WebHeld, shared.held.get());
     let view = shared.view();
     let (owned, standby) = view.me.map_or((0, 0), |me| {
         (view.state.owned_count(me) as u64, view.state.standby_count(me) as u64)
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -71,6 +71,8 @@
         RequestsRedirected = "requests.redirected", "tries";
         /// Requests refused at the entry because members had just refused similar ones.
         RequestsFull = "requests.full", "requests";
+        /// Requests with large answers refused because too many answer bytes were held.
+        RequestsHeldUp = "requests.held_up", "requests";
         /// Requests refused because upstreams crash when they run them.
         RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
@@ -145,6 +147,8 @@
         BalanceImbalance = "balance.imbalance", "thousandths";
         /// Requests in the deduplication state of this member.
         DedupEntries = "dedup.entries", "requests";
+        /// Answer bytes in memory: not yet read by callers, or part of an incomplete answer.
+        WebHeld = "web.held", "bytes";
     }
 }
 
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -3,6 +3,7 @@
 //! Keyed services send a request to the owner of its key, pooled ones to any member whose upstream
 //! serves the workspace.
 
+mod held_answers;
 mod keyed;
 mod member_backoff;
 mod outages;
@@ -31,6 +32,7 @@
 use rand::Rng;
 use tracing::{debug, info};
 
+pub(crate) use self::held_answers::HeldAnswers;
 pub(crate) use self::outages::Outages;
 use self::outcome::{
     AttemptOutcome, Load, classify, entry_answer, reached_upstream, with_retry_after,
@@ -92,6 +94,8 @@
     pub(crate) log_limit: LogLimiter,
     /// Rate limit of the log lines about requests that were answered late.
     pub(crate) late_limit: LogLimiter,
+    /// Limit on the answer bytes that this process holds.
+    pub(crate) held: HeldAnswers,
     /// Measures the scheduling lag of this process.
     pub(crate) lag_monitor: Arc<LagMonitor>,
 }
@@ -236,6 +240,7 @@
         }
         let class = route.class(&request.method, &request.path).clone();
         check_lag(&class, lag)?;
+        self.held.check(clock::now(), &class, &self.metrics)?;
         let key = find_key(&route, &request)?;
         let id = match &request.key {
             Some(text) => RequestId::from_key(&route.workspace, key, text),
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::inflight::Inflight;
+use crate::web::HeldBytes;
 
 /// The local upstream, as last announced.
 #[derive(Debug, Clone)]
@@ -166,6 +167,8 @@
     pub(crate) configured: AtomicBool,
     /// True once this process has joined; before, other members reject its connections.
     pub(crate) joined: AtomicBool,
+    /// Answer bytes that this process holds.
+    pub(crate) held: HeldBytes,
     change: Notify,
 }
 
--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Instant, timeout};
 use tracing::debug;
 
+use super::held::HeldBytes;
 use super::write_limit::{AbandonGuard, LimitedStream, WriteLimit};
 use crate::clock;
 
@@ -165,13 +166,20 @@
 pub struct Client {
     settings: ClientSettings,
     idle: Mutex<Vec<IdleConnection>>,
+    held: HeldBytes,
 }
 
 impl Client {
     /// Creates a client without connections.
     #[must_use]
-    pub const fn new(settings: ClientSettings) -> Self {
-        Self { settings, idle: Mutex::new(Vec::new()) }
+    pub fn new(settings: ClientSettings) -> Self {
+        Self { settings, idle: Mutex::default(), held: HeldBytes::default() }
+    }
+
+    /// Counts the bytes of incomplete answers as held.
+    #[must_use]
+    pub fn counted(self, held: HeldBytes) -> Self {
+        Self { held, ..self }
     }
 
     /// Sends a request once, over an existing or a new connection, and reads its complete answer.
@@ -393,6 +401,7 @@
     async fn read(&self, address: SocketAddr, mut body: Incoming) -> Result<Bytes, ExchangeError> {
         let limit = self.settings.body;
         let mut buffer = BytesMut::new();
+        let mut held = self.held.hold(0);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|source| lost(address, source))?.into_data() else {
                 continue;
@@ -400,6 +409,7 @@
             if buffer.len() + data.len() > limit {
                 return TooLargeSnafu { address, limit }.fail();
             }
+            held.add(data.len());
             buffer.extend_from_slice(&data);
         }
         Ok(buffer.freeze())
--- a/acaciaringd/src/web/mod.rs
+++ b/acaciaringd/src/web/mod.rs
@@ -2,9 +2,11 @@
 //! reports whether a request may have been sent.
 
 mod client;
+mod held;
 mod io;
 mod server;
 mod write_limit;
 
 pub use self::client::{Client, ClientSettings, Exchange, ExchangeError};
+pub use self::held::HeldBytes;
 pub use self::server::{Fault, HttpHandler, Response, Server, WebError, text};
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 listener.
 //!
 //! Requests are read completely before they are handled, and answers are written with their length.
-//! When a caller closes its connection, the future that answers its request is dropped.
+//! When a caller closes its connection, the future that answers its request is dropped. An answer is
+//! written before the next request of its connection is handled, so a connection holds one answer.
 
 use std::convert::Infallible;
 use std::future::pending;
@@ -28,6 +29,7 @@
 
 use crate::declared::CallerLimits;
 use crate::peer::BoxFuture;
+use crate::web::held::HeldBytes;
 use crate::web::io::TimedConnection;
 
 /// Answer to a caller.
@@ -134,6 +136,20 @@
         runtime: &Handle,
         address: SocketAddr,
         handler: Arc<dyn HttpHandler>,
+    ) -> Result<Self, WebError> {
+        Self::start_counted(runtime, address, handler, HeldBytes::default())
+    }
+
+    /// Starts a listener like [`Self::start`] and counts its answers as held until they are written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn start_counted(
+        runtime: &Handle,
+        address: SocketAddr,
+        handler: Arc<dyn HttpHandler>,
+        held: HeldBytes,
     ) -> Result<Self, WebError> {
         let failed = |source| WebError::Listen { address, source };
         let socket = std::net::TcpListener::bind(address).map_err(failed)?;
@@ -144,8 +160,12 @@
         let (phase, receiver) = watch::channel(Phase::Open);
         let (requests, connections) = (Arc::default(), Arc::default());
         let open = Arc::clone(&connections);
-        let dispatcher =
-            Arc::new(Dispatcher { handler, requests: Arc::clone(&requests), connections: open });
+        let dispatcher = Arc::new(Dispatcher {
+            handler,
+            requests: Arc::clone(&requests),
+            connections: open,
+            held,
+        });
         runtime.spawn(accept(listener, dispatcher, receiver));
         Ok(Self { address, phase, requests, connections })
     }
@@ -185,6 +205,7 @@
     handler: Arc<dyn HttpHandler>,
     requests: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    held: HeldBytes,
 }
 
 async fn accept(
@@ -230,6 +251,7 @@
         let (dispatcher, closed) = (Arc::clone(&dispatcher), Arc::clone(&closed));
         async move {
             let response = dispatcher.answer(request, &closed).await;
+            let response = count_body(response, &dispatcher.held).await;
             drop(guard);
             Ok::<_, Infallible>(response)
         }
@@ -317,6 +339,13 @@
     }
 }
 
+/// Counts the body of a response as held.
+async fn count_body(response: Response, held: &HeldBytes) -> Response {
+    let (parts, body) = response.into_parts();
+    let Ok(body) = body.collect().await;
+    Response::from_parts(parts, Full::new(held.wrap(body.to_bytes())))
+}
+
 /// Reads a body of at most `limit` bytes; a body in a single frame is not copied.
 async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Fault> {
     let mut first = Bytes::new();
