Test the count of held answers of the built-in entry

The count covers the entry that blocks a thread for each answer, too, and no test saw it. The test lets a caller leave midway and expects the count to return to zero.

--- a/acaciaringd/tests/web_held.rs
+++ b/acaciaringd/tests/web_held.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use acaciaring_core::Verdict;
+use acaciaringd::entry::{Entry, EntryAnswer, EntryRequest, EntrySettings, Service};
 use acaciaringd::peer::BoxFuture;
 use acaciaringd::web::{
     Client, ClientSettings, ExchangeError, HeldBytes, HttpHandler, Response, Server, text,
@@ -243,3 +245,39 @@
     assert!(matches!(exchange, Err(ExchangeError::TooLarge { limit: LIMIT, .. })), "{exchange:?}");
     assert_eq!(held.get(), 0);
 }
+
+/// Service of the built-in entry with large answers.
+struct LargeService(HeldBytes);
+
+impl Service for LargeService {
+    fn handle(&self, _request: EntryRequest) -> EntryAnswer {
+        EntryAnswer {
+            verdict: Verdict::Answered,
+            reason: None,
+            status: 200,
+            headers: Vec::new(),
+            body: vec![b'x'; ANSWER_BYTES],
+            retry: None,
+            owner: None,
+        }
+    }
+
+    fn held(&self) -> HeldBytes {
+        self.0.clone()
+    }
+}
+
+/// Guards against answers of the built-in entry that are not counted, or stay counted once their
+/// callers have left.
+#[test]
+fn answers_of_the_built_in_entry_are_counted() {
+    let held = HeldBytes::default();
+    let service = Arc::new(LargeService(held.clone()));
+    let entry = Entry::start(EntrySettings::default(), service).expect("it listens");
+    let mut caller = TcpStream::connect(entry.local_addr()).expect("connect");
+    caller.write_all(LARGE.as_bytes()).expect("write");
+    caller.read_exact(&mut vec![0; 100_000]).expect("a part");
+    assert!(held.get() > HELD, "{} bytes are held", held.get());
+    drop(caller);
+    wait_for_held(&held, 0);
+}
