--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -73,6 +73,8 @@
         RequestsFull = "requests.full", "requests";
         /// Requests of callers refused because the link of the member had no room for the answer.
         RequestsLinkFull = "requests.link_full", "requests";
+        /// Requests with large answers refused because too many answer bytes were held.
+        RequestsHeldUp = "requests.held_up", "requests";
         /// Requests refused because upstreams crash when they run them.
         RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
@@ -151,6 +153,8 @@
         BalanceImbalance = "balance.imbalance", "thousandths";
         /// Requests in the deduplication state of this member.
         DedupEntries = "dedup.entries", "requests";
+        /// Answer bytes in memory: not yet read by callers, or part of an incomplete answer.
+        WebHeld = "web.held", "bytes";
     }
 }
 
