Wait for the end of the first request in a test of requests that are cut off

The stand-in counts a request as busy until after it has answered, so `busy > 0` could be met by the first request, and the process was stopped before the slow one had arrived. The test now waits for the first to end. What it checks is unchanged; that this was the cause of each of the failures is inferred.

--- a/acaciaringd/tests/cut_off.rs
+++ b/acaciaringd/tests/cut_off.rs
@@ -46,6 +46,8 @@
     assert_eq!(reply.verdict, "answered", "{reply:?}");
 
     let server = cluster.vms[0].upstream.as_ref().expect("an upstream").handle();
+    // Otherwise the first request would be taken for the slow one below.
+    wait_until("the first has ended", WAIT_TIMEOUT, || server.counts().busy == 0).expect("it ends");
     let costs = [("/slow".to_owned(), SLOW_SERVICE_MS)].into();
     server.set(&UpstreamControl { costs: Some(costs), ..UpstreamControl::default() });
     let caller = thread::spawn(move || {
