--- a/review/standin/judge.rs
+++ b/review/standin/judge.rs
@@ -9,6 +9,10 @@
 /// Two servers may not hold the same keys for longer.
 const OVERLAP: Duration = Duration::from_millis(500);
 
+/// A request that was read whole has an answer when its connection ends later than this after its
+/// last byte was sent.
+const LOST: Duration = Duration::from_millis(200);
+
 struct Hold {
     rows: Vec<(u32, u32, u64)>,
     until: Instant,
@@ -16,14 +20,17 @@
 
 #[derive(Default)]
 struct Seen {
-    /// Runs of each attempt: server and key.
-    runs: HashMap<String, Vec<String>>,
+    /// Runs of each attempt: when it began, server and key.
+    runs: HashMap<String, Vec<(Instant, String)>>,
     /// Final status of each attempt that may run once at most; 0 without an answer.
     once: HashMap<String, u16>,
     holds: HashMap<String, Hold>,
     /// Since when two servers hold some same keys.
     overlaps: HashMap<(String, String), Instant>,
     owner: Vec<String>,
+    /// Requests around a planned stop whose connections ended without an answer: when the last byte
+    /// was sent and when the connection ended.
+    ended: Vec<(String, Instant, Instant)>,
     answers: HashMap<(bool, u16), usize>,
 }
 
@@ -40,7 +47,7 @@
     pub fn ran(&self, attempt: &str, server: &str, key: u32) {
         let mut seen = self.seen.lock().unwrap();
         let run = format!("{server} (key {key})");
-        seen.runs.entry(attempt.to_owned()).or_default().push(run);
+        seen.runs.entry(attempt.to_owned()).or_default().push((Instant::now(), run));
     }
 
     pub fn answered(&self, attempt: &str, once: bool, status: u16) {
@@ -51,6 +58,11 @@
         }
     }
 
+    /// Records that the connection of a request that was sent whole has ended without an answer.
+    pub fn ended(&self, attempt: &str, sent: Instant) {
+        self.seen.lock().unwrap().ended.push((attempt.to_owned(), sent, Instant::now()));
+    }
+
     pub fn held(&self, server: &str, rows: &[(u32, u32, u64)], until: Instant) {
         let mut seen = self.seen.lock().unwrap();
         seen.holds.insert(server.to_owned(), Hold { rows: rows.to_vec(), until });
@@ -119,11 +131,24 @@
         let mut broken = Vec::new();
         for (attempt, status) in &seen.once {
             let runs = seen.runs.get(attempt).map_or(&[][..], Vec::as_slice);
+            let places: Vec<&str> = runs.iter().map(|(_, place)| place.as_str()).collect();
             if runs.len() > 1 {
-                broken.push(format!("TWICE: {attempt} ran {} times, at {}", runs.len(), runs.join(", ")));
+                broken.push(format!("TWICE: {attempt} ran {} times, at {}", runs.len(), places.join(", ")));
             }
             if matches!(status, 408 | 421 | 429 | 503) && !runs.is_empty() {
-                broken.push(format!("REFUSED: {attempt} was answered {status} and ran at {}", runs.join(", ")));
+                broken.push(format!("REFUSED: {attempt} was answered {status} and ran at {}", places.join(", ")));
+            }
+        }
+        for (attempt, sent, end) in &seen.ended {
+            let ms = end.duration_since(*sent).as_millis();
+            let runs = seen.runs.get(attempt).map_or(&[][..], Vec::as_slice);
+            // Requests that were at a server then are not counted: they may be excused.
+            let waited = runs.iter().all(|(began, _)| began > end);
+            if waited && end.duration_since(*sent) > LOST {
+                broken.push(format!(
+                    "LOST: {attempt} was at no server, and its connection ended without an answer \
+                     {ms} ms after its last byte was sent"
+                ));
             }
         }
         broken.extend(seen.owner.iter().map(|text| format!("OWNER: {text}")));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod rng;
 mod server;
+mod stop;
 mod store;
 
 use std::env;
@@ -22,6 +23,7 @@
     let trouble = env::var("TROUBLE").is_ok_and(|value| value == "0");
     let outcome = match name.as_str() {
         "extra" => extra::play(&path, !trouble),
+        "stop" => stop::play(&path, !trouble),
         "beats" => beats::play(&path, !trouble),
         _ => Err(format!("no case is called {name:?}")),
     };
