--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -112,8 +112,7 @@
     pub fn stop(&self) -> Duration {
         let began = Instant::now();
         let Some(mut process) = self.process.lock().unwrap().take() else { return Duration::ZERO };
-        let pid = process.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {}", process.id())]).status();
         while began.elapsed() < Duration::from_secs(6) {
             if matches!(process.try_wait(), Ok(Some(_))) {
                 return began.elapsed();
