Name the connection of a server's answer in the logs

The lines of a refused request and of an answer that belongs to another request state the attempt and the connection, which the client numbers. Without them a log could not tell a refusal that the server gave to this try from one that answers an earlier try of the same attempt.

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use acaciaring_core::Time;
@@ -136,6 +137,8 @@
     pub head: Parts,
     /// Complete body.
     pub body: Bytes,
+    /// Number of the connection, counted by its client.
+    pub connection: u64,
     /// True if the connection was reused.
     pub reused: bool,
     kept: Option<IdleConnection>,
@@ -150,6 +153,7 @@
 #[derive(Debug)]
 struct Connection {
     address: SocketAddr,
+    number: u64,
     sender: SendRequest<Full<Bytes>>,
     limit: Arc<WriteLimit>,
     reused: bool,
@@ -166,6 +170,8 @@
 pub struct Client {
     settings: ClientSettings,
     idle: Mutex<Vec<IdleConnection>>,
+    /// Number of connections so far.
+    connected: AtomicU64,
     held: HeldBytes,
 }
 
@@ -173,7 +179,12 @@
     /// Creates a client without connections.
     #[must_use]
     pub fn new(settings: ClientSettings) -> Self {
-        Self { settings, idle: Mutex::default(), held: HeldBytes::default() }
+        Self {
+            settings,
+            idle: Mutex::default(),
+            connected: AtomicU64::default(),
+            held: HeldBytes::default(),
+        }
     }
 
     /// Counts the bytes of incomplete answers as held.
@@ -366,7 +377,8 @@
                 debug!(%address, error = &error as &dyn Error, "client connection failed");
             }
         });
-        Ok(Connection { address, sender, limit, reused: false })
+        let number = self.connected.fetch_add(1, Ordering::Relaxed) + 1;
+        Ok(Connection { address, number, sender, limit, reused: false })
     }
 
     /// Sets `TCP_NODELAY` and, if configured, TCP keep-alive and the user timeout (RFC 5482).
@@ -393,9 +405,9 @@
         let (head, body) = response.into_parts();
         let body = self.read(connection.address, body).await?;
         let until = Instant::now() + keep_alive(&head.headers).unwrap_or(self.settings.idle);
-        let reused = connection.reused;
+        let Connection { number, reused, .. } = connection;
         let kept = (!closes(&head.headers)).then_some(IdleConnection { connection, until });
-        Ok(Exchange { head, body, reused, kept })
+        Ok(Exchange { head, body, connection: number, reused, kept })
     }
 
     async fn read(&self, address: SocketAddr, mut body: Incoming) -> Result<Bytes, ExchangeError> {
