Never send an id twice over a connection

What callers saw: a commitment was answered 503, "not run and never will be", and ran.

Cause: an upstream that turns a request away may get it again, with the same attempt id, as callers' requests keep theirs. The connection of the refusal was free again and, as the one used last, was the first choice. An upstream that sends its refusal twice sends the copy where the next answer is expected: there the copy repeats the id of the try that waits, and was taken for its answer.

A connection now keeps the ids that it has carried until their deadlines, and a request takes one that has not carried its id, or opens a new one. So an answer that repeats the id can only be an answer to this try. That costs a connection only where every idle one has carried the id.

The same holds for a caller that uses an id again within the deadline of the first, and for requests that are sent again after a lost answer, whose connection is closed anyway.

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -2,6 +2,9 @@
 //!
 //! A request is sent at most once and never repeated. A connection is reused only after a complete
 //! answer, so a late answer to an abandoned request is never read as the answer to another one.
+//!
+//! A server may send an answer twice, the second time where the next answer is expected. What tells
+//! the two apart is an [`AnswerId`], so a connection never carries the same one twice.
 
 use std::error::Error;
 use std::io;
@@ -26,6 +29,7 @@
 use tokio::time::{Instant, timeout};
 use tracing::debug;
 
+use super::answer_id::{AnswerId, CarriedIds};
 use super::held::HeldBytes;
 use super::write_limit::{AbandonGuard, LimitedStream, WriteLimit};
 use crate::clock;
@@ -157,6 +161,7 @@
     sender: SendRequest<Full<Bytes>>,
     limit: Arc<WriteLimit>,
     reused: bool,
+    carried: CarriedIds,
 }
 
 #[derive(Debug)]
@@ -205,13 +210,39 @@
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
-        let request = match self.send_kept(address, request, None).await {
+        self.exchange_once(address, request, None).await
+    }
+
+    /// Sends a request like [`Self::exchange`], over a connection that has not carried its id.
+    ///
+    /// The caller must check that the answer has the id. Guards against an extra copy of the answer
+    /// to an earlier try of the same request, which has it as well.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::exchange`].
+    pub async fn exchange_identified(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+        id: AnswerId,
+    ) -> Result<Exchange, ExchangeError> {
+        self.exchange_once(address, request, Some(id)).await
+    }
+
+    async fn exchange_once(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+        id: Option<AnswerId>,
+    ) -> Result<Exchange, ExchangeError> {
+        let request = match self.send_kept(address, request, id, None).await {
             Ok(exchange) => return Ok(exchange),
             Err(Failed { request: Some(request), .. }) => request,
             Err(Failed { error, .. }) => return Err(error),
         };
         let connection = self.connect(address).await?;
-        self.send(connection, request, None).await.map_err(|failed| failed.error)
+        self.send(connection, request, id, None).await.map_err(|failed| failed.error)
     }
 
     /// Sends a request like [`Self::exchange`] and waits for its answer until a deadline, after
@@ -230,7 +261,7 @@
         deadline: Time,
         may_connect: bool,
     ) -> Result<Exchange, ExchangeError> {
-        let request = match self.send_kept(address, request, Some(deadline)).await {
+        let request = match self.send_kept(address, request, None, Some(deadline)).await {
             Ok(exchange) => return Ok(exchange),
             Err(Failed { request: Some(request), .. }) => request,
             Err(Failed { error, .. }) => return Err(error),
@@ -242,7 +273,7 @@
         let timed_out =
             |_| Err(io::Error::from(io::ErrorKind::TimedOut)).context(ConnectSnafu { address });
         let connection = connecting.await.unwrap_or_else(timed_out)?;
-        self.send(connection, request, Some(deadline)).await.map_err(|failed| failed.error)
+        self.send(connection, request, None, Some(deadline)).await.map_err(|failed| failed.error)
     }
 
     /// Sends a request over an existing connection, if there is one.
@@ -250,10 +281,11 @@
         &self,
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
+        id: Option<AnswerId>,
         deadline: Option<Time>,
     ) -> Result<Exchange, Failed> {
-        match self.take(address) {
-            Some(connection) => self.send(connection, request, deadline).await,
+        match self.take(address, id) {
+            Some(connection) => self.send(connection, request, id, deadline).await,
             None => Err(Failed {
                 error: ExchangeError::Unconnected { address },
                 request: Some(request),
@@ -264,10 +296,14 @@
     /// Sends a request over a connection and reads its complete answer, until the deadline.
     async fn send(
         &self,
-        connection: Connection,
+        mut connection: Connection,
         request: hyper::Request<Full<Bytes>>,
+        id: Option<AnswerId>,
         deadline: Option<Time>,
     ) -> Result<Exchange, Failed> {
+        if let Some(id) = id {
+            connection.carried.add(clock::now(), id);
+        }
         let address = connection.address;
         let limit = Arc::clone(&connection.limit);
         limit.begin(deadline);
@@ -348,19 +384,18 @@
         }
     }
 
-    /// Takes the most recently used connection.
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the most recently used connection that has not carried an id.
+    fn take(&self, address: SocketAddr, id: Option<AnswerId>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
         idle.retain(|IdleConnection { connection, until }| {
-            connection.address == address && now < *until && !connection.sender.is_closed()
+            connection.address == address && now < *until && connection.sender.is_ready()
         });
-        while let Some(kept) = idle.pop() {
-            if kept.connection.sender.is_ready() {
-                return Some(Connection { reused: true, ..kept.connection });
-            }
-        }
-        None
+        let fits =
+            |kept: &IdleConnection| id.is_none_or(|id| !kept.connection.carried.contains(id));
+        let index = idle.iter().rposition(fits)?;
+        let IdleConnection { connection, .. } = idle.remove(index);
+        Some(Connection { reused: true, ..connection })
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
@@ -378,7 +413,8 @@
             }
         });
         let number = self.connected.fetch_add(1, Ordering::Relaxed) + 1;
-        Ok(Connection { address, number, sender, limit, reused: false })
+        let carried = CarriedIds::default();
+        Ok(Connection { address, number, sender, limit, reused: false, carried })
     }
 
     /// Sets `TCP_NODELAY` and, if configured, TCP keep-alive and the user timeout (RFC 5482).
