Prove the answers to orders without an id

An upstream that is granted keys by calls and sends an answer twice could make a member take keys for released, or a grant for not carried out, while the upstream held them: two holders.

Cause: answers to orders were matched by their place on the connection alone.

What an answer means now depends on what it can be a copy of. Only the answer to a release has a handover, and a connection carries one release.

--- a/acaciaringd/src/web/client.rs
+++ b/acaciaringd/src/web/client.rs
@@ -248,7 +248,7 @@
     /// Sends a request like [`Self::exchange`] and waits for its answer until a deadline, after
     /// which nothing of it is written.
     ///
-    /// Connects only if `may_connect` allows it.
+    /// Its connection has not carried its id, if it has one. Connects only if `may_connect` allows it.
     ///
     /// # Errors
     ///
@@ -258,10 +258,11 @@
         &self,
         address: SocketAddr,
         request: hyper::Request<Full<Bytes>>,
+        id: Option<AnswerId>,
         deadline: Time,
         may_connect: bool,
     ) -> Result<Exchange, ExchangeError> {
-        let request = match self.send_kept(address, request, None, Some(deadline)).await {
+        let request = match self.send_kept(address, request, id, Some(deadline)).await {
             Ok(exchange) => return Ok(exchange),
             Err(Failed { request: Some(request), .. }) => request,
             Err(Failed { error, .. }) => return Err(error),
@@ -273,7 +274,7 @@
         let timed_out =
             |_| Err(io::Error::from(io::ErrorKind::TimedOut)).context(ConnectSnafu { address });
         let connection = connecting.await.unwrap_or_else(timed_out)?;
-        self.send(connection, request, None, Some(deadline)).await.map_err(|failed| failed.error)
+        self.send(connection, request, id, Some(deadline)).await.map_err(|failed| failed.error)
     }
 
     /// Sends a request over an existing connection, if there is one.
