Limit the answers that the blocking clients read

Memory stayed bounded for one call, not for many: each could hold a body of the largest size.

The transport counts what a call receives and ends it once that exceeds the largest body and 2 MiB. The bodies of all incomplete answers of an upstream have twice the largest body together.

--- a/acaciaringd/src/platform/mod.rs
+++ b/acaciaringd/src/platform/mod.rs
@@ -194,7 +194,7 @@
         if record.len() > MAX_RECORD {
             return Err(AppendError::Refused { cause: "record above the limit".into() });
         }
-        transport::begin();
+        transport::begin(MAX_ANSWER);
         let url = format!("http://{}/v1/records", self.address);
         let request = self.agent.post(url).config().timeout_global(Some(self.timeouts.append));
         let (status, body) = read_response(request.build().send(record)).map_err(append_failure)?;
@@ -224,6 +224,7 @@
         let millis = wait.as_millis();
         let url = format!("http://{}/v1/records?from={from}&max={max}&wait={millis}", self.address);
         let bound = wait.saturating_add(self.timeouts.read);
+        transport::begin(MAX_ANSWER);
         let request = self.agent.get(url).config().timeout_global(Some(bound));
         let unavailable = |error: ureq::Error| ReadError::Unavailable { cause: error.to_string() };
         let (status, body) = read_response(request.build().call()).map_err(unavailable)?;
--- a/acaciaringd/src/upstream/answer.rs
+++ b/acaciaringd/src/upstream/answer.rs
@@ -1,5 +1,6 @@
 //! Reads responses of the upstream: complete answers, `NotRun` refusals, or lost answers.
 
+use std::io::{self, Read};
 use std::time::Duration;
 
 use acaciaring_core::{Reason, Refusal};
@@ -8,6 +9,7 @@
 use ureq::http::{HeaderMap, Response, StatusCode};
 
 use crate::header::{self, Headers};
+use crate::web::{HeldBytes, IncompleteAnswers};
 
 /// Value of the header by which a fenced upstream refuses.
 const FENCE: &str = "fence";
@@ -24,6 +26,9 @@
 /// Retry delay after load shedding without `Retry-After`.
 const SHED_RETRY: Duration = Duration::from_secs(1);
 
+/// Bytes of a body that are read before they are counted.
+const PART_BYTES: u64 = 64 << 10;
+
 /// Complete answer of the upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamAnswer {
@@ -42,11 +47,12 @@
     mut response: Response<Body>,
     method: &str,
     limit: u64,
+    incomplete: &IncompleteAnswers,
 ) -> Result<UpstreamAnswer, Refusal> {
     let status = response.status();
     let head = response.headers().clone();
     let bodiless = is_bodiless(status, method);
-    let body = read_body(&mut response, bodiless, limit);
+    let body = read_body(&mut response, bodiless, limit, incomplete);
     // A refusal in the head is valid even if the body was truncated.
     if let Some(refusal) = parse_refusal(status, &head) {
         return Err(refusal);
@@ -65,7 +71,12 @@
 }
 
 /// Reads the body; `None` if it is incomplete.
-fn read_body(response: &mut Response<Body>, bodiless: bool, limit: u64) -> Option<Vec<u8>> {
+fn read_body(
+    response: &mut Response<Body>,
+    bodiless: bool,
+    limit: u64,
+    incomplete: &IncompleteAnswers,
+) -> Option<Vec<u8>> {
     if bodiless {
         return Some(Vec::new());
     }
@@ -75,7 +86,7 @@
         warn!("upstream response has neither Content-Length nor chunked coding; answer lost");
         return None;
     }
-    match response.body_mut().with_config().limit(limit).read_to_vec() {
+    match read_to_end(response.body_mut().with_config().limit(limit).reader(), incomplete) {
         Ok(body) if stated.is_none_or(|length| length == body.len() as u64) => Some(body),
         Ok(body) => {
             warn!(?stated, length = body.len(), "upstream response body truncated; answer lost");
@@ -88,6 +99,19 @@
     }
 }
 
+/// Reads a body in parts, and counts them as incomplete until its end.
+fn read_to_end(mut reader: impl Read, incomplete: &IncompleteAnswers) -> io::Result<Vec<u8>> {
+    let mut answer = incomplete.begin(&HeldBytes::default());
+    let mut body = Vec::new();
+    loop {
+        match reader.by_ref().take(PART_BYTES).read_to_end(&mut body)? {
+            0 => return Ok(body),
+            count if answer.add(count) => {}
+            _ => return Err(io::Error::other("no room for an answer that is not complete")),
+        }
+    }
+}
+
 /// Parses a refusal by which the upstream states that it has not run the request.
 fn parse_refusal(status: StatusCode, headers: &HeaderMap) -> Option<Refusal> {
     let value = headers.get(header::REFUSED)?.to_str().ok()?;
--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -40,6 +40,7 @@
     OrderCall, UpstreamClient, UpstreamNotice, UpstreamReply, UpstreamRequest,
 };
 use crate::upstream::transport::{NumericResolver, TrackingConnector};
+use crate::web::IncompleteAnswers;
 
 /// Settings of the client of the upstream.
 #[derive(Debug, Clone)]
@@ -50,7 +51,7 @@
     pub connect: Duration,
     /// Maximum age of an idle connection; must be below the idle timeout of the upstream.
     pub idle: Duration,
-    /// Maximum size of a response body, bytes.
+    /// Maximum size of a response body, bytes; all incomplete ones together may have twice as many.
     pub body: u64,
     /// Timeout of a cancellation.
     pub cancel: Duration,
@@ -127,6 +128,7 @@
 pub struct Upstream {
     agent: Agent,
     settings: UpstreamSettings,
+    incomplete: IncompleteAnswers,
 }
 
 impl Upstream {
@@ -134,7 +136,8 @@
     #[must_use]
     pub fn new(settings: UpstreamSettings) -> Self {
         let agent = agent(&settings);
-        Self { agent, settings }
+        let incomplete = IncompleteAnswers::new(settings.body.saturating_mul(2));
+        Self { agent, settings, incomplete }
     }
 
     /// Sends a request and waits for its complete answer, at most `left`.
@@ -157,7 +160,7 @@
             return Err(Refusal::not_run(Reason::Expired));
         }
         let request = build(call, &context).ok_or(Refusal::not_run(Reason::BadRequest))?;
-        transport::begin();
+        transport::begin(self.settings.body);
         let request = request
             .with_agent(&self.agent)
             .configure()
@@ -165,11 +168,12 @@
             .timeout_connect(Some(self.settings.connect.min(call.left)))
             .build();
         let response = request.run().map_err(|error| failure(&error))?;
-        answer::receive(response, call.method, self.settings.body)
+        answer::receive(response, call.method, self.settings.body, &self.incomplete)
     }
 
     /// Asks the upstream to cancel an attempt, best effort.
     pub fn cancel(&self, address: SocketAddr, attempt: u64) {
+        transport::begin(0);
         let url = format!("http://{address}/acaciaring/cancel/{attempt}");
         let request = self.agent.post(url).config().timeout_global(Some(self.settings.cancel));
         if let Err(error) = request.build().send_empty() {
--- a/acaciaringd/src/upstream/transport.rs
+++ b/acaciaringd/src/upstream/transport.rs
@@ -1,4 +1,5 @@
-//! Transport and resolver for `ureq` that track whether a request may have reached the upstream.
+//! Transport and resolver for `ureq` that track whether a request may have reached the upstream, and
+//! that limit what arrives in place of an answer.
 
 use std::cell::Cell;
 use std::io;
@@ -15,11 +16,19 @@
     ///
     /// `ureq` runs a whole call on the calling thread.
     static SENT: Cell<bool> = const { Cell::new(false) };
+
+    /// Bytes that the call on this thread may still receive.
+    static LEFT: Cell<u64> = const { Cell::new(0) };
 }
 
-/// Resets the tracking at the start of a call on this thread.
-pub(crate) fn begin() {
+/// Bytes of an answer that may arrive beyond the largest body: heads, trailers and framing.
+const MAX_OVERHEAD_BYTES: u64 = 2 << 20;
+
+/// Resets the tracking at the start of a call on this thread, with the largest body of its answer in
+/// bytes.
+pub(crate) fn begin(body: u64) {
     SENT.set(false);
+    LEFT.set(body.saturating_add(MAX_OVERHEAD_BYTES));
 }
 
 /// Returns true if the call on this thread may have reached the upstream.
@@ -60,8 +69,18 @@
         self.0.transmit_output(amount, timeout)
     }
 
+    /// Guards against an answer without end: `ureq` reads informational responses and trailers until
+    /// the timeout of the call.
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.0.await_input(timeout)
+        let before = self.0.buffers().input().len();
+        let progress = self.0.await_input(timeout)?;
+        let received = self.0.buffers().input().len().saturating_sub(before) as u64;
+        let Some(left) = LEFT.get().checked_sub(received) else {
+            let cause = "the answer exceeds its largest size";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, cause).into());
+        };
+        LEFT.set(left);
+        Ok(progress)
     }
 
     fn is_open(&mut self) -> bool {
