--- a/acaciaring_testing/src/endless.rs
+++ b/acaciaring_testing/src/endless.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes written at a time.
 const WRITE_BYTES: usize = 16 << 10;
@@ -13,6 +13,12 @@
 /// Pause between the single bytes of [`Endless::Drip`].
 const DRIP_PAUSE: Duration = Duration::from_millis(10);
 
+/// Upper bound of a wait; only a failing test reaches it.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Interval at which a wait checks its condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// What is sent without end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Endless {
@@ -188,15 +194,22 @@
         self.counts.accepted.load(Ordering::SeqCst)
     }
 
-    /// Returns the number of connections without end that the peer has closed.
-    #[must_use]
-    pub fn ended(&self) -> usize {
+    fn ended(&self) -> usize {
         self.counts.ended.load(Ordering::SeqCst)
     }
 
-    /// Returns the number of bytes written without end.
+    /// Waits until the peer has closed `count` connections without end; returns the bytes written.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they stay open.
     #[must_use]
-    pub fn written(&self) -> u64 {
+    pub fn wait_for_end(&self, count: usize) -> u64 {
+        let start = Instant::now();
+        while self.ended() < count {
+            assert!(start.elapsed() < WAIT_TIMEOUT, "{} of {count} are closed", self.ended());
+            thread::sleep(POLL_INTERVAL);
+        }
         self.counts.written.load(Ordering::SeqCst)
     }
 }
--- a/acaciaringd/tests/endless_answers.rs
+++ b/acaciaringd/tests/endless_answers.rs
@@ -2,7 +2,6 @@
 
 use std::future::poll_fn;
 use std::task::Poll;
-use std::thread;
 use std::time::{Duration, Instant};
 
 use acaciaring_testing::{Endless, EndlessServer};
@@ -20,9 +19,6 @@
 /// Time by which a call may end late, on a machine that is short of processor time.
 const SLACK: Duration = Duration::from_secs(3);
 
-/// Upper bound of each wait; only a failing test reaches it.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Connections without end at the same time.
 const CONNECTIONS: usize = 8;
 
@@ -39,14 +35,9 @@
     Request::post("/report").body(Full::new(Bytes::from_static(b"sample"))).expect("a request")
 }
 
-/// Waits until the server sees that its connections without end were closed.
-fn wait_for_end(server: &EndlessServer, count: usize, kind: Endless) {
-    let start = Instant::now();
-    while server.ended() < count {
-        assert!(start.elapsed() < WAIT_TIMEOUT, "{kind:?}: {} closed", server.ended());
-        thread::sleep(Duration::from_millis(5));
-    }
-    let written = server.written();
+/// Checks that the connections without end are closed, and how much was read of them.
+fn check_end(server: &EndlessServer, count: usize, kind: Endless) {
+    let written = server.wait_for_end(count);
     assert!(written < MAX_READ * count as u64, "{kind:?}: {written} bytes were read");
 }
 
@@ -76,7 +67,7 @@
             assert!(error.may_have_arrived(), "{kind:?}: {error}");
         }
         check_time(start, kind);
-        wait_for_end(&server, 1, kind);
+        check_end(&server, 1, kind);
         let answered = runtime.block_on(exchange(&client, &server));
         assert!(matches!(answered, Some(Ok(_))), "{kind:?}: {answered:?}");
         assert_eq!(server.accepted(), 2, "{kind:?}: a new connection is used");
@@ -106,7 +97,7 @@
             let endless = exchange_all(&client, &server, kind);
             tokio::join!(others, endless);
         });
-        wait_for_end(&server, CONNECTIONS, kind);
+        check_end(&server, CONNECTIONS, kind);
     }
 }
 
@@ -142,6 +133,6 @@
         let error = runtime.block_on(call).expect_err("no answer");
         assert!(error.may_have_arrived(), "{kind:?}: {error}");
         check_time(start, kind);
-        wait_for_end(&server, 1, kind);
+        check_end(&server, 1, kind);
     }
 }
--- a/acaciaringd/tests/endless_upstream.rs
+++ b/acaciaringd/tests/endless_upstream.rs
@@ -1,6 +1,5 @@
 //! Services that send bytes without end in place of an answer, at the blocking clients.
 
-use std::thread;
 use std::time::{Duration, Instant};
 
 use acaciaring_core::{Generation, Reason, Refusal, RequestId};
@@ -14,22 +13,14 @@
 /// Time by which a call may end late, on a machine that is short of processor time.
 const SLACK: Duration = Duration::from_secs(3);
 
-/// Upper bound of each wait; only a failing test reaches it.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Most bytes that a call may read, with what the buffers of its sockets take.
 const MAX_READ: u64 = 96 << 20;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
-/// Waits until the server sees that its connections without end were closed.
-fn wait_for_end(server: &EndlessServer, count: usize, kind: Endless) {
-    let start = Instant::now();
-    while server.ended() < count {
-        assert!(start.elapsed() < WAIT_TIMEOUT, "{kind:?}: {} closed", server.ended());
-        thread::sleep(Duration::from_millis(5));
-    }
-    let written = server.written();
+/// Checks that the connections without end are closed, and how much was read of them.
+fn check_end(server: &EndlessServer, count: usize, kind: Endless) {
+    let written = server.wait_for_end(count);
     assert!(written < MAX_READ * count as u64, "{kind:?}: {written} bytes were read");
 }
 
@@ -60,7 +51,7 @@
         let start = Instant::now();
         assert_eq!(upstream.send(&call), Err(Refusal::unknown(Reason::LostAnswer)), "{kind:?}");
         check_time(start, kind);
-        wait_for_end(&server, 1, kind);
+        check_end(&server, 1, kind);
         assert!(upstream.send(&call).is_ok(), "{kind:?}: a new connection is used");
     }
 }
@@ -80,6 +71,6 @@
         let read = log.read(Generation::default().first(), 10, Duration::ZERO);
         assert!(read.is_err(), "{kind:?}: {read:?}");
         check_time(start, kind);
-        wait_for_end(&server, 2, kind);
+        check_end(&server, 2, kind);
     }
 }
