Match the answers of upstreams and of the log with their calls

An upstream of the acaciaring protocol or a log service that sends an answer twice, the second time once the next request has arrived, had the copy taken for the next answer: a caller got the answer to another request, an append that was made counted as refused, or got the offset of another one.

Cause: the blocking clients match answers by their place on the connection. Upstreams get a number for each try that none of them had to repeat, and calls to the log had none.

An answer that repeats another number is now taken for nothing: the outcome is unknown and its connection closes. Calls to the log have a number. Without it a copy is found only while its connection is idle.

--- a/acaciaring_testing/src/log.rs
+++ b/acaciaring_testing/src/log.rs
@@ -16,12 +16,15 @@
 use tiny_http::{Method, Request};
 
 use crate::error::Result;
-use crate::http::{self, Http};
+use crate::http::{self, Http, Reply};
 
 use self::store::{RateLimit, Store};
 
 pub use self::control::{LogControl, LogCounts, LogOptions};
 
+/// Header with the id of a call.
+const CALL: &str = "x-acaciaring-call";
+
 const MAX_RECORD_BYTES: usize = 256 * 1024;
 
 /// Number of worker threads; a long-polling read occupies none of them.
@@ -80,6 +83,12 @@
     until: Instant,
 }
 
+/// Sends an answer, which repeats the id of its call.
+fn answer(request: Request, reply: Reply) {
+    let call = http::header(&request, CALL).unwrap_or_default().to_owned();
+    http::answer(request, http::with_header(reply, CALL, &call));
+}
+
 impl LogServer {
     /// Starts the service.
     ///
@@ -211,7 +220,7 @@
                     now,
                 );
             }
-            _ => http::answer(request, http::status(404)),
+            _ => answer(request, http::status(404)),
         }
     }
 
@@ -219,11 +228,11 @@
         let mut state = self.state.lock();
         let Some(request) = state.refuse(request) else { return };
         let Some(record) = body else {
-            return http::answer(request, http::status(413));
+            return answer(request, http::status(413));
         };
         if !state.limit.take(now) {
             state.counts.limited += 1;
-            return http::answer(request, http::status(429));
+            return answer(request, http::status(429));
         }
         let offset = self.append(&mut state, record);
         if state.lose > 0 {
@@ -232,7 +241,7 @@
             return self.http.close(request);
         }
         drop(state);
-        http::answer(request, http::bytes(Appended { offset }.encode_to_vec()));
+        answer(request, http::bytes(Appended { offset }.encode_to_vec()));
     }
 
     fn append(&self, state: &mut State, record: Vec<u8>) -> u64 {
@@ -258,7 +267,7 @@
         state.counts.reads += 1;
         state.counts.sent += body.len() as u64;
         drop(state);
-        http::answer(read.request, http::bytes(body));
+        answer(read.request, http::bytes(body));
     }
 
     /// Wakes reads that have timed out; in an outage, wakes all of them.
@@ -318,7 +327,7 @@
         }
         if self.outage {
             self.counts.refused += 1;
-            http::answer(request, http::status(503));
+            answer(request, http::status(503));
             return None;
         }
         Some(request)
--- a/acaciaring_testing/src/upstream/work.rs
+++ b/acaciaring_testing/src/upstream/work.rs
@@ -16,6 +16,9 @@
 use super::{Attempt, Check, Job, Shared, State, body_hash};
 use crate::http::{self, Reply};
 
+/// Header of an attempt, which its answer repeats.
+const ATTEMPT: &str = "x-acaciaring-attempt";
+
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Value of `retry-after` in responses to shed requests.
@@ -107,7 +110,7 @@
         if self.busy.load(Ordering::SeqCst) >= state.capacity {
             return refuse(state, request, Refusal::Shed);
         }
-        let number = header_number(&request, "x-acaciaring-attempt");
+        let number = header_number(&request, ATTEMPT);
         let left = time_left(&request);
         let (cancel, cancelled) = crossbeam_channel::bounded(1);
         if let Some(number) = number {
@@ -193,6 +196,7 @@
     }
 
     fn deliver(&self, request: Request, body: &[u8], delivery: &Delivery) {
+        let attempt = header_text(&request, ATTEMPT);
         let echo = Echo {
             request: header_text(&request, "x-acaciaring-request"),
             tag: header_text(&request, "x-load-tag"),
@@ -202,7 +206,9 @@
             hash: body_hash(body),
         };
         match delivery {
-            Delivery::Complete => http::answer(request, http::json(&echo)),
+            Delivery::Complete => {
+                http::answer(request, http::with_header(http::json(&echo), ATTEMPT, &attempt));
+            }
             Delivery::Dropped => self.http.close(request),
             Delivery::Truncated => {
                 let body = serde_json::to_vec(&echo).unwrap_or_default();
@@ -210,7 +216,7 @@
             }
             Delivery::Delayed(by) => {
                 thread::sleep(*by);
-                http::answer(request, http::json(&echo));
+                http::answer(request, http::with_header(http::json(&echo), ATTEMPT, &attempt));
             }
         }
     }
@@ -255,7 +261,8 @@
 }
 
 fn refuse(mut state: MutexGuard<'_, State>, request: Request, why: Refusal) {
-    let reply = why.count(&mut state.counts);
+    let attempt = header_text(&request, ATTEMPT);
+    let reply = http::with_header(why.count(&mut state.counts), ATTEMPT, &attempt);
     drop(state);
     http::answer(request, reply);
 }
--- a/acaciaringd/src/header.rs
+++ b/acaciaringd/src/header.rs
@@ -1,9 +1,12 @@
 //! Names of HTTP headers, and removal of those that must not be forwarded.
 
+use ureq::http::HeaderMap;
+
 /// Prefix of all headers that this project defines.
 pub(crate) const PREFIX: &str = "x-acaciaring-";
 
 pub(crate) const ATTEMPT: &str = "x-acaciaring-attempt";
+pub(crate) const CALL: &str = "x-acaciaring-call";
 pub(crate) const DEADLINE: &str = "x-acaciaring-deadline";
 pub(crate) const FENCE: &str = "x-acaciaring-fence";
 pub(crate) const OWNER: &str = "x-acaciaring-owner";
@@ -44,6 +47,11 @@
     Some(&header.1)
 }
 
+/// Returns true unless a response repeats another value of a request header.
+pub(crate) fn repeats(headers: &HeaderMap, name: &str, value: &str) -> bool {
+    headers.get_all(name).iter().all(|repeated| repeated.as_bytes() == value.as_bytes())
+}
+
 /// Removes the hop-by-hop headers, including those that `connection` nominates.
 pub(crate) fn strip_hop(headers: &mut Headers) {
     let nominated = nominated(headers);
--- a/acaciaringd/src/platform/mod.rs
+++ b/acaciaringd/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's append-only log service, over HTTP/1.1.
 
 use std::fmt::{self, Debug, Formatter};
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use ureq::Agent;
 use ureq::unversioned::transport::{Connector, TcpConnector};
 
+use crate::header;
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::upstream::transport::{self, NumericResolver, TrackingConnector};
 
@@ -196,8 +198,10 @@
         }
         transport::begin(MAX_ANSWER);
         let url = format!("http://{}/v1/records", self.address);
-        let request = self.agent.post(url).config().timeout_global(Some(self.timeouts.append));
-        let (status, body) = read_response(request.build().send(record)).map_err(append_failure)?;
+        let call = call_id();
+        let request = self.agent.post(url).header(header::CALL, &call);
+        let request = request.config().timeout_global(Some(self.timeouts.append)).build();
+        let (status, body) = read_response(request.send(record), &call).map_err(append_failure)?;
         match status {
             OK => offset(&body),
             BAD_REQUEST | TOO_LARGE | TOO_MANY | UNAVAILABLE => {
@@ -225,9 +229,11 @@
         let url = format!("http://{}/v1/records?from={from}&max={max}&wait={millis}", self.address);
         let bound = wait.saturating_add(self.timeouts.read);
         transport::begin(MAX_ANSWER);
-        let request = self.agent.get(url).config().timeout_global(Some(bound));
+        let call = call_id();
+        let request = self.agent.get(url).header(header::CALL, &call);
+        let request = request.config().timeout_global(Some(bound)).build();
         let unavailable = |error: ureq::Error| ReadError::Unavailable { cause: error.to_string() };
-        let (status, body) = read_response(request.build().call()).map_err(unavailable)?;
+        let (status, body) = read_response(request.call(), &call).map_err(unavailable)?;
         if status != OK {
             return Err(ReadError::Unavailable { cause: format!("status {status}") });
         }
@@ -244,9 +250,24 @@
 
 type Response = ureq::http::Response<ureq::Body>;
 
+/// Returns an id that is unique to a call.
+fn call_id() -> String {
+    rand::random::<u64>().to_string()
+}
+
 /// Reads the whole response, so that a truncated body is an error.
-fn read_response(response: Result<Response, ureq::Error>) -> Result<(u16, Vec<u8>), ureq::Error> {
+///
+/// Guards against the answer to another call, by which a record would count as appended at a wrong
+/// offset: one that repeats another id is an error, which closes the connection.
+fn read_response(
+    response: Result<Response, ureq::Error>,
+    call: &str,
+) -> Result<(u16, Vec<u8>), ureq::Error> {
     let mut response = response?;
+    if !header::repeats(response.headers(), header::CALL, call) {
+        let cause = "the answer belongs to another call";
+        return Err(io::Error::new(io::ErrorKind::InvalidData, cause).into());
+    }
     let body = response.body_mut().with_config().limit(MAX_ANSWER).read_to_vec()?;
     Ok((response.status().as_u16(), body))
 }
--- a/acaciaringd/src/upstream/answer.rs
+++ b/acaciaringd/src/upstream/answer.rs
@@ -9,6 +9,7 @@
 use ureq::http::{HeaderMap, Response, StatusCode};
 
 use crate::header::{self, Headers};
+use crate::upstream::UpstreamCall;
 use crate::web::{HeldBytes, IncompleteAnswers};
 
 /// Value of the header by which a fenced upstream refuses.
@@ -42,16 +43,20 @@
     pub length: u64,
 }
 
-/// Reads a response to the end of its body, at most `limit` bytes.
+/// Reads the response to an attempt to the end of its body, at most `limit` bytes.
 pub(super) fn receive(
     mut response: Response<Body>,
-    method: &str,
+    call: &UpstreamCall<'_>,
     limit: u64,
     incomplete: &IncompleteAnswers,
 ) -> Result<UpstreamAnswer, Refusal> {
     let status = response.status();
     let head = response.headers().clone();
-    let bodiless = is_bodiless(status, method);
+    if !header::repeats(&head, header::ATTEMPT, &call.attempt.to_string()) {
+        warn!(attempt = call.attempt, "upstream response belongs to another attempt; answer lost");
+        return Err(Refusal::unknown(Reason::LostAnswer));
+    }
+    let bodiless = is_bodiless(status, call.method);
     let body = read_body(&mut response, bodiless, limit, incomplete);
     // A refusal in the head is valid even if the body was truncated.
     if let Some(refusal) = parse_refusal(status, &head) {
--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -13,7 +13,9 @@
 //!
 //! `ureq` returns a connection to its pool only after the complete answer was read by its framing
 //! with no bytes left over. A call that timed out or failed closes its connection, so a late answer
-//! is never read as the answer of another request. Connections idle for longer than `idle` are not
+//! is never read as the answer of another request. An answer that repeats the header of an attempt
+//! is read as that of no other attempt, which guards against upstreams that send an answer twice;
+//! `ureq` closes a connection on which bytes arrive while it is idle. Connections idle for longer than `idle` are not
 //! reused; that must be shorter than the idle timeout of the upstream.
 
 mod answer;
@@ -168,7 +170,7 @@
             .timeout_connect(Some(self.settings.connect.min(call.left)))
             .build();
         let response = request.run().map_err(|error| failure(&error))?;
-        answer::receive(response, call.method, self.settings.body, &self.incomplete)
+        answer::receive(response, call, self.settings.body, &self.incomplete)
     }
 
     /// Asks the upstream to cancel an attempt, best effort.
