--- a/acaciaring_testing/src/endless.rs
+++ b/acaciaring_testing/src/endless.rs
@@ -71,10 +71,11 @@
         format!("{self:?}").to_lowercase()
     }
 
-    /// Returns the kind that a path names after `endless-`.
+    /// Returns the kind that a path names after `endless-`, up to the next `-`.
     #[must_use]
     pub fn in_path(path: &str) -> Option<Self> {
-        let (_, name) = path.split_once("endless-")?;
+        let (_, rest) = path.split_once("endless-")?;
+        let name = rest.split('-').next()?;
         Self::ALL.into_iter().find(|kind| kind.name() == name)
     }
 
