--- a/acaciaringd/src/upstream/mod.rs
+++ b/acaciaringd/src/upstream/mod.rs
@@ -15,8 +15,8 @@
 //! with no bytes left over. A call that timed out or failed closes its connection, so a late answer
 //! is never read as the answer of another request. An answer that repeats the header of an attempt
 //! is read as that of no other attempt, which guards against upstreams that send an answer twice;
-//! `ureq` closes a connection on which bytes arrive while it is idle. Connections idle for longer than `idle` are not
-//! reused; that must be shorter than the idle timeout of the upstream.
+//! `ureq` closes a connection on which bytes arrive while it is idle. Connections idle for longer
+//! than `idle` are not reused; that must be shorter than the idle timeout of the upstream.
 
 mod answer;
 mod cancel;
