--- a/acaciaringd/tests/extra_answers.rs
+++ b/acaciaringd/tests/extra_answers.rs
@@ -13,7 +13,7 @@
 use acaciaringd::upstream::{Upstream, UpstreamCall, UpstreamSettings};
 use prost::Message;
 
-/// Starts a server that repeats a header of each request in its answer, and that sends each answer
+/// Starts a server that repeats a header of requests that have it, and that sends each answer
 /// once more before the next one on its connection.
 fn serve_twice(name: &'static str, answers: Vec<(u16, Vec<u8>)>) -> SocketAddr {
     let answers = Arc::new(Mutex::new(answers.into_iter()));
@@ -22,13 +22,14 @@
         loop {
             let request = support::read_message(&mut stream);
             let prefix = format!("{name}: ");
-            let Some(id) = request.lines().find_map(|line| line.strip_prefix(&prefix)) else {
+            if request.is_empty() {
                 return;
-            };
+            }
+            let id = request.lines().find_map(|line| line.strip_prefix(&prefix));
+            let repeated = id.map(|id| format!("{name}: {id}\r\n")).unwrap_or_default();
             let Some((status, body)) = answers.lock().expect("lock").next() else { return };
             let length = body.len();
-            let head =
-                format!("HTTP/1.1 {status} S\r\n{name}: {id}\r\ncontent-length: {length}\r\n\r\n");
+            let head = format!("HTTP/1.1 {status} S\r\n{repeated}content-length: {length}\r\n\r\n");
             let answer = [head.as_bytes(), &body].concat();
             if stream.write_all(&[copy, answer.clone()].concat()).is_err() {
                 return;
