--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -123,6 +123,7 @@
 pub fn run(name: &str, world: &Arc<World>, dir: &Path, trouble: bool) -> i32 {
     match name {
         "late-beats" => late_beats(world, dir, trouble),
+        "foreign-beats" => foreign_beats(world, dir, trouble),
         _ => {
             eprintln!("no case {name:?}");
             2
@@ -180,3 +181,43 @@
     drop(checker);
     judge(world, &lines)
 }
+
+/// Another writer sends heartbeats in which the fields `Zone` and `Version` are missing.
+fn foreign_beats(world: &Arc<World>, dir: &Path, trouble: bool) -> i32 {
+    let deployment = Deployment::start(world, dir, 4, 2, 0);
+    if !deployment.settle() {
+        deployment.end();
+        return 2;
+    }
+    let counts = deployment.clients(2);
+    thread::sleep(Duration::from_secs(3));
+    let (machine, server) = (&deployment.machines[0], &deployment.servers[0]);
+    let before = server.held();
+    for sequence in 1..=8 {
+        if trouble {
+            let body = format!(
+                "{{\"Service\":\"{CONTRACTS}\",\"Address\":\"127.0.0.1:9\",\"Slots\":18,\
+                 \"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":{sequence}}}"
+            );
+            let request = format!(
+                "PUT /instances/i-other HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n\
+                 Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+                body.len()
+            );
+            let answer = exchange(machine.at.control, request.as_bytes(), Duration::from_secs(1));
+            let status = answer.map(|answer| answer.status);
+            world.record.add(format!("heartbeat of another writer {body}: {status:?}"));
+        }
+        thread::sleep(Duration::from_millis(400));
+    }
+    thread::sleep(Duration::from_secs(12));
+    world.record.add(format!("the server held {before} keys before, {} at the end", server.held()));
+    deployment.end();
+    let (sent, served) = (counts.sent.load(Ordering::SeqCst), counts.served.load(Ordering::SeqCst));
+    world.record.add(format!("requests sent {sent}, served {served}"));
+    let checker = world.checker.lock().unwrap();
+    let mut lines = checker.owner();
+    lines.extend(checker.twice());
+    drop(checker);
+    judge(world, &lines)
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -208,16 +208,24 @@
 /// Returns an address of its own on loopback for a machine, with free ports.
 fn addresses(number: usize) -> Addresses {
     let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, std::process::id() / 200 % 250, number + 1);
-    let tcp = || {
-        let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
-        listener.local_addr().expect("address")
-    };
-    let (a, b, c, d) = (tcp(), tcp(), tcp(), tcp());
-    let udp = UdpSocket::bind((ip.as_str(), 0)).expect("a free port");
-    let peer_port = udp.local_addr().expect("address").port();
+    let (a, b, c, d) = (port(&ip), port(&ip), port(&ip), port(&ip));
+    let at = |port: u16| SocketAddr::new(ip.parse().expect("an address"), port);
+    let (a, b, c, d, peer_port) = (at(a), at(b), at(c), at(d), port(&ip));
     Addresses { ip, outbound: a, ready: b, control: c, app: d, peer_port }
 }
 
+/// Returns a port that is free for TCP and UDP, below those that connections are given.
+fn port(ip: &str) -> u16 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let next = u64::from(std::process::id()) * 131 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 11_000 + (next % 19_000) as u16;
+        if TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Answer to a request.
 #[derive(Clone, Debug)]
 pub struct Answer {
