--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -169,6 +169,8 @@
     lives: AtomicU64,
     /// True while heartbeats are held up on their way.
     cut: AtomicBool,
+    /// True once it sends no more heartbeats.
+    silent: AtomicBool,
     pub beats: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
 }
@@ -210,6 +212,7 @@
             state: Mutex::default(),
             lives: AtomicU64::new(0),
             cut: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             beats: AtomicU64::new(0),
             streams: Mutex::default(),
         });
@@ -311,12 +314,26 @@
         state.rows.iter().map(|(first, last, _)| last - first + 1).sum()
     }
 
+    /// Says that it leaves, by a call without heartbeats after it; returns true once acknowledged.
+    pub fn deregister(&self) -> bool {
+        let id = self.id();
+        self.0.silent.store(true, Ordering::SeqCst);
+        let request = format!(
+            "DELETE /instances/{id} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            self.0.control
+        );
+        let answer = exchange(self.0.control, request.as_bytes(), Duration::from_secs(1));
+        let acknowledged = answer.is_some_and(|answer| answer.status / 100 == 2);
+        self.0.world.record.add(format!("DELETE of {id}, acknowledged: {acknowledged}"));
+        acknowledged
+    }
+
     /// Sends one heartbeat; returns true if another one is due at once, after a release.
     fn beat(&self) -> bool {
         let inner = &self.0;
         let sent = inner.world.record.now();
         let mut state = inner.state.lock().unwrap();
-        if state.id.is_empty() {
+        if state.id.is_empty() || inner.silent.load(Ordering::SeqCst) {
             return false;
         }
         if state.until <= sent {
