--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -62,6 +62,8 @@
     pub checker: Mutex<server::Checker>,
     pub done: AtomicBool,
     pub ids: AtomicU64,
+    /// True where heartbeats state the start of their server.
+    pub born: AtomicBool,
 }
 
 impl World {
@@ -72,6 +74,7 @@
             checker: Mutex::default(),
             done: AtomicBool::new(false),
             ids: AtomicU64::new(1),
+            born: AtomicBool::new(false),
         })
     }
 }
@@ -344,7 +347,13 @@
     true
 }
 
-/// Ends the program's own processes if it takes too long.
+/// Returns the time of day in Unix milliseconds.
+fn unix_millis() -> u128 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.expect("a time of these days").as_millis()
+}
+
+/// Plays the case that the first word names; the second one is its folder.
 fn main() {
     let mut words = std::env::args().skip(1);
     let name = words.next().unwrap_or_default();
