--- a/review/standin-2/case.rs
+++ b/review/standin-2/case.rs
@@ -138,7 +138,8 @@
     i32::from(!lines.is_empty())
 }
 
-/// Another writer sends heartbeats in which the fields `Zone`, `Version` and `born` are missing.
+/// Another writer sends heartbeats in which the fields `Zone`, `Version` and `born` are missing, at
+/// one machine and then at another one.
 fn foreign_beats(world: &Arc<World>, dir: &Path, trouble: bool) -> i32 {
     world.born.store(true, Ordering::SeqCst);
     let deployment = Deployment::start(world, dir, 4, 2);
@@ -148,27 +149,28 @@
     }
     let counts = deployment.clients(2);
     thread::sleep(Duration::from_secs(4));
-    let (machine, server) = (&deployment.machines[0], &deployment.servers[0]);
-    let before = server.held();
-    for sequence in 1..=6 {
-        if trouble {
-            let body = format!(
-                "{{\"Service\":\"{CONTRACTS}\",\"Address\":\"127.0.0.1:9\",\"Slots\":18,\
-                 \"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":{sequence}}}"
-            );
-            let request = format!(
-                "PUT /instances/i-other HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
-                body.len()
-            );
-            let answer = exchange(machine.at.control, request.as_bytes(), Duration::from_secs(1));
-            let status = answer.map(|answer| answer.status);
-            world.record.add(format!("heartbeat of another writer {body}: {status:?}"));
+    for (machine, server) in deployment.machines.iter().zip(&deployment.servers).take(2) {
+        let before = server.held();
+        for sequence in 1..=6 {
+            if trouble {
+                let body = format!(
+                    "{{\"Service\":\"{CONTRACTS}\",\"Address\":\"127.0.0.1:9\",\"Slots\":18,\
+                     \"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":{sequence}}}"
+                );
+                let request = format!(
+                    "PUT /instances/i-other HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n\
+                     Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+                    body.len()
+                );
+                let answer = exchange(machine.at.control, request.as_bytes(), Duration::from_secs(1));
+                let status = answer.map(|answer| answer.status);
+                world.record.add(format!("heartbeat of another writer at {} {body}: {status:?}", machine.name));
+            }
+            thread::sleep(Duration::from_millis(400));
         }
-        thread::sleep(Duration::from_millis(400));
+        thread::sleep(Duration::from_secs(10));
+        world.record.add(format!("{} held {before} keys before, {} now", server.id(), server.held()));
     }
-    thread::sleep(Duration::from_secs(12));
-    world.record.add(format!("the server held {before} keys before, {} at the end", server.held()));
     deployment.end();
     let (sent, served) = (counts.sent.load(Ordering::SeqCst), counts.served.load(Ordering::SeqCst));
     world.record.add(format!("requests sent {sent}, served {served}"));
