Limit the memory of request bodies over all connections

Callers that send many large bodies at once, most of them just short of their end, ended a process: it ran out of memory.

All bodies of a process together now take at most half of the memory that the deployment states (MemoryMb, setting limits.memory), from the first byte until the request has ended, at the entry and on the member that a hop reaches: the charge is dropped with the last reference to the body, so attempts, the message of a hop that is not acknowledged and the request to the own server count once. What counts is the capacity of buffers, not the bytes received. Bodies above a 64th of that may take seven eighths of it, so that small ones find room.

A crowd that holds its share gives way: bodies that have stalled for the time of a head, then the largest that is still arriving. What does not fit is answered 503 with Retry-After and has not run. A member without room for the request of a hop answers that it has not run, and its sender does not take it for lost.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod balance;
+pub mod body_budget;
 pub mod dedup;
 pub mod evacuation;
 pub mod fanout;
--- a/acaciaringd/src/daemon/adapters.rs
+++ b/acaciaringd/src/daemon/adapters.rs
@@ -15,7 +15,7 @@
 use crate::poll_wait::PollWait;
 use crate::router::Router;
 use crate::upstream::UpstreamClient;
-use crate::web::HeldBytes;
+use crate::web::{HeldBytes, ServerLimits};
 
 /// Failure of an adapter.
 pub type AdapterError = Box<dyn Error + Send + Sync>;
@@ -45,6 +45,8 @@
     pub runtime: Handle,
     /// Handler of callers' requests.
     pub front: Frontend,
+    /// Limits of the listener for callers.
+    pub callers: ServerLimits,
     /// Receiver of the upstream's heartbeats.
     pub heartbeats: Heartbeats,
     /// Declared configurations, received from the environment.
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -23,6 +23,7 @@
 use self::deferred::DeferredHandler;
 use crate::admin::MemberAdmin;
 use crate::appender::Appender;
+use crate::body_memory::BodyMemory;
 use crate::clock;
 use crate::control::{Control, ControlContext, Event};
 use crate::declared::Declarations;
@@ -46,7 +47,7 @@
     WaitLimit,
 };
 use crate::view::Shared;
-use crate::web::{self, WebError};
+use crate::web::{self, ServerLimits, WebError};
 
 /// Part of the entry workers whose requests may wait for a takeover: one in this many.
 const WAITER_DIVISOR: usize = 4;
@@ -146,7 +147,8 @@
         let declarations = Arc::new(Declarations::new(decoder, events.clone()));
 
         let deferred = Arc::new(DeferredHandler::default());
-        let transport = transport(settings, deferred.clone(), &metrics)?;
+        let bodies = BodyMemory::new(options::body_memory(settings), metrics.clone());
+        let transport = transport(settings, deferred.clone(), &metrics, bodies.clone())?;
         let page = address.map(|address| page(address, &metrics, &transport)).transpose()?;
         let log = adapters.log(transport.runtime());
         let outbox = Outbox::new(&transport);
@@ -185,7 +187,10 @@
             transport: transport.clone(),
         };
         let polls = PollWait::new(Arc::clone(&shared), settings.log.wait);
+        let held = shared.held.clone();
+        let callers = ServerLimits { bodies: bodies.clone(), held };
         let listener_context = ListenerContext {
+            callers,
             runtime: transport.runtime().clone(),
             front: front.clone(),
             heartbeats: Heartbeats::new(events.clone()),
@@ -224,7 +229,7 @@
             upstream_client,
             upstream: settings.upstream.clone(),
         };
-        gauges::start(&context.shared, &context.gate, transport.egress().clone(), metrics);
+        gauges::start(&context.shared, &context.gate, transport.egress().clone(), bodies, metrics);
         reader::start(log, polls, reads, read_scheduler, events.clone());
         let control = Control::start(context, inbox);
         info!(http = %listeners.callers(), peer = %transport.local_addr(),
@@ -280,10 +285,11 @@
     settings: &Settings,
     handler: Arc<DeferredHandler>,
     metrics: &Metrics,
+    bodies: BodyMemory,
 ) -> Result<Transport, StartError> {
     let settings = options::peer_settings(settings);
     let egress = Egress::metered(settings.link_rate, metrics.clone());
-    Transport::metered(settings, handler, metrics.clone(), egress).context(PeerSnafu)
+    Transport::limited(settings, handler, metrics.clone(), egress, bodies).context(PeerSnafu)
 }
 
 /// Starts the metrics listener.
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -21,6 +21,9 @@
 /// Allowance for headers and metadata in a message between members, in bytes.
 const ENVELOPE_BYTES: u64 = 256 << 10;
 
+/// Divisor of the memory of the process that gives the part for request bodies.
+const BODIES_DIVISOR: u64 = 2;
+
 /// Longest term of a lease when grants are sent to the upstream by calls.
 ///
 /// Calls renew a grant several times within this term; heartbeats may be too rare for that.
@@ -65,6 +68,11 @@
     usize::try_from(settings.limits.body + ENVELOPE_BYTES).unwrap_or(usize::MAX)
 }
 
+/// Returns the memory for request bodies in bytes.
+pub(super) const fn body_memory(settings: &Settings) -> u64 {
+    settings.limits.memory / BODIES_DIVISOR
+}
+
 /// Returns the settings of the entry for callers.
 pub(super) fn entry_settings(settings: &Settings) -> EntrySettings {
     EntrySettings {
--- a/acaciaringd/src/gauges.rs
+++ b/acaciaringd/src/gauges.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::body_memory::BodyMemory;
 use crate::clock;
 use crate::egress::Egress;
 use crate::gate::Gate;
@@ -15,10 +16,16 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Starts the thread, which ends once the gate is dropped.
-pub(crate) fn start(shared: &Arc<Shared>, gate: &Arc<Gate>, egress: Egress, metrics: Metrics) {
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    gate: &Arc<Gate>,
+    egress: Egress,
+    bodies: BodyMemory,
+    metrics: Metrics,
+) {
     let (shared, gate) = (Arc::downgrade(shared), Arc::downgrade(gate));
     let run = move || {
-        while send(&shared, &gate, &egress, &metrics).is_some() {
+        while send(&shared, &gate, &egress, &bodies, &metrics).is_some() {
             thread::sleep(INTERVAL);
         }
     };
@@ -32,6 +39,7 @@
     shared: &Weak<Shared>,
     gate: &Weak<Gate>,
     egress: &Egress,
+    bodies: &BodyMemory,
     metrics: &Metrics,
 ) -> Option<()> {
     let (shared, gate) = (shared.upgrade()?, gate.upgrade()?);
@@ -43,6 +51,7 @@
     let held = clock::now() < shared.lease.get();
     metrics.gauge(Gauge::LeaseHeld, u64::from(held));
     metrics.gauge(Gauge::WebHeld, shared.held.get());
+    metrics.gauge(Gauge::BodiesHeld, bodies.used());
     let view = shared.view();
     let (owned, standby) = view.me.map_or((0, 0), |me| {
         (view.state.owned_count(me) as u64, view.state.standby_count(me) as u64)
--- a/acaciaringd/src/lib.rs
+++ b/acaciaringd/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod announce;
 mod appender;
 pub mod backoff;
+mod body_memory;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -75,6 +75,8 @@
         RequestsLinkFull = "requests.link_full", "requests";
         /// Requests with large answers refused because too many answer bytes were held.
         RequestsHeldUp = "requests.held_up", "requests";
+        /// Request bodies given up because all bodies together took too much memory.
+        BodiesRefused = "bodies.refused", "bodies";
         /// Requests refused because upstreams crash when they run them.
         RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
@@ -155,6 +157,8 @@
         DedupEntries = "dedup.entries", "requests";
         /// Answer bytes in memory: not yet read by callers, or part of an incomplete answer.
         WebHeld = "web.held", "bytes";
+        /// Bytes that request bodies take in memory.
+        BodiesHeld = "bodies.held", "bytes";
     }
 }
 
--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use quinn::{Connection, SendStream};
+use quinn::{Connection, SendStream, VarInt, WriteError};
 use snafu::ResultExt;
 use tokio::time::{self, Instant};
 use tracing::debug;
@@ -152,10 +152,17 @@
             continue;
         };
         let mut parts = frame.to_vec();
-        if let Ok(Ok(())) = time::timeout_at(limit, stream.write_all_chunks(&mut parts)).await {
-            // Fails only if the peer has stopped reading; the reply's error gives the reason.
-            let _ = stream.finish();
-            return Ok(SentMessage { link, stream, reader });
+        match time::timeout_at(limit, stream.write_all_chunks(&mut parts)).await {
+            Ok(Ok(())) => {
+                // Fails only if the peer has stopped reading; the reply's error gives the reason.
+                let _ = stream.finish();
+                return Ok(SentMessage { link, stream, reader });
+            }
+            // The peer has no room for the message, and says so in its reply.
+            Ok(Err(WriteError::Stopped(code))) if code == VarInt::from(Code::Busy) => {
+                return Ok(SentMessage { link, stream, reader });
+            }
+            _ => {}
         }
         abandon(&mut stream);
     }
--- a/acaciaringd/src/peer/frame.rs
+++ b/acaciaringd/src/peer/frame.rs
@@ -10,6 +10,9 @@
 use quinn::{ConnectionError, ReadError, RecvStream, VarInt};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
+use crate::body_memory::{BodyMemory, Charge};
+use crate::clock;
+
 /// Length of the prefix that holds the length of a message.
 const PREFIX_BYTES: usize = size_of::<u32>();
 
@@ -17,6 +20,9 @@
 const REQUEST_FIELD: u32 = 1;
 const BODY_FIELD: u32 = 9;
 
+/// Size from which a message counts as memory of request bodies, in bytes.
+const MIN_CHARGED: usize = 16 << 10;
+
 /// Error codes of streams and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Code {
@@ -55,6 +61,8 @@
     Unknown,
     #[snafu(display("stream ended within a message"))]
     Ended,
+    #[snafu(display("no memory for a message of {size} bytes"))]
+    NoRoom { size: usize },
     #[snafu(display("stream was reset or its connection lost"))]
     Broken { source: ReadError },
 }
@@ -65,6 +73,7 @@
         match self {
             Self::TooLarge { .. } => Code::TooLarge,
             Self::Malformed { .. } | Self::Unknown | Self::Ended => Code::Malformed,
+            Self::NoRoom { .. } => Code::Busy,
             Self::Broken { .. } => Code::None,
         }
     }
@@ -122,6 +131,10 @@
 pub(super) struct FrameReader {
     recv: RecvStream,
     buffer: BytesMut,
+    /// Limit on the memory of requests, for the reader of calls.
+    bodies: Option<BodyMemory>,
+    /// Memory of the request that is being read.
+    charge: Option<Charge>,
     limit: usize,
     /// Length of the last message, in bytes.
     length: usize,
@@ -130,7 +143,13 @@
 impl FrameReader {
     /// Creates a reader of messages of at most `limit` bytes.
     pub fn new(recv: RecvStream, limit: usize) -> Self {
-        Self { recv, buffer: BytesMut::new(), limit, length: 0 }
+        let buffer = BytesMut::new();
+        Self { recv, buffer, bodies: None, charge: None, limit, length: 0 }
+    }
+
+    /// Counts the memory of requests, and refuses those for which there is no room.
+    pub fn limited(self, bodies: BodyMemory) -> Self {
+        Self { bodies: Some(bodies), ..self }
     }
 
     /// Reads the next message.
@@ -181,10 +200,33 @@
         let size = usize::try_from(u32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
         ensure!(size <= self.limit, TooLargeSnafu { size, limit: self.limit });
         if self.buffer.len() < PREFIX_BYTES + size {
+            ensure!(self.reserve(size), NoRoomSnafu { size });
             return Ok(None);
         }
         self.buffer.advance(PREFIX_BYTES);
         self.length = size;
-        Ok(Some(self.buffer.split_to(size).freeze()))
+        let frame = self.buffer.split_to(size).freeze();
+        Ok(Some(match self.charge.take() {
+            Some(charge) => charge.hold(frame),
+            None => frame,
+        }))
+    }
+
+    /// Takes memory for a message of which a part has arrived; returns false if there is no room.
+    ///
+    /// Messages other than requests, on which other members depend, are not limited.
+    fn reserve(&mut self, size: usize) -> bool {
+        let Some(bodies) = self.bodies.as_ref().filter(|_| size >= MIN_CHARGED) else {
+            return true;
+        };
+        let Some(&kind) = self.buffer.get(PREFIX_BYTES) else { return true };
+        if self.charge.is_some() || u32::from(kind >> 3) != REQUEST_FIELD {
+            return true;
+        }
+        self.charge = bodies.take(clock::now(), size);
+        if self.charge.is_some() {
+            self.buffer.reserve(PREFIX_BYTES + size - self.buffer.len());
+        }
+        self.charge.is_some()
     }
 }
--- a/acaciaringd/src/peer/run.rs
+++ b/acaciaringd/src/peer/run.rs
@@ -171,7 +171,8 @@
     }
 }
 
-fn not_run(reason: Reason) -> Answer {
+/// Returns the answer to a request that was refused.
+pub(super) fn not_run(reason: Reason) -> Answer {
     Answer { verdict: Verdict::NotRun.into(), reason: reason.into(), ..Answer::default() }
 }
 
--- a/acaciaringd/src/peer/serve.rs
+++ b/acaciaringd/src/peer/serve.rs
@@ -13,7 +13,8 @@
 
 use acaciaring_core::attempt::AttemptSettings;
 use acaciaring_schema::peer::{
-    Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reply, Request, call, reply,
+    Call, Cancel, Datagram, Done, Fetch, FetchReply, Probe, ProbeReply, Reason, Reply, Request,
+    call, reply,
 };
 
 use crate::peer::error::{BrokenSnafu, ConnectError};
@@ -22,7 +23,7 @@
 use crate::peer::large::{self, Delivered};
 use crate::peer::link::{Link, Liveness, greet, is_stop, was_unused};
 use crate::peer::pool::HANDSHAKE_FACTOR;
-use crate::peer::run::serve_request;
+use crate::peer::run::{self, serve_request};
 use crate::peer::table::{self, Delivery, FetchedAnswer};
 use crate::peer::transport::Shared;
 use crate::peer::volume;
@@ -143,7 +144,8 @@
     recv: RecvStream,
 ) {
     let StreamOrigin { address: from, process, conn, link } = origin;
-    let mut reader = FrameReader::new(recv, shared.settings.message_limit);
+    let reader = FrameReader::new(recv, shared.settings.message_limit);
+    let mut reader = reader.limited(shared.bodies.clone());
     let call = reader.next::<Call>().await;
     let body = call.and_then(|call| call.body.ok_or(FrameError::Unknown));
     let body = match body {
@@ -151,6 +153,12 @@
             shared.volume.received(volume::Kind::of_call(Some(&body)), reader.length());
             body
         }
+        Err(FrameError::NoRoom { .. }) => {
+            reader.stop(Code::Busy);
+            let refusal = run::not_run(Reason::Busy);
+            write_last(&shared, &mut send, reply::Body::Answer(refusal)).await;
+            return;
+        }
         Err(error) => {
             // A reset stream or closed connection is not the message's fault; the rest is invalid.
             if error.code() != Code::None {
--- a/acaciaringd/src/peer/tests.rs
+++ b/acaciaringd/src/peer/tests.rs
@@ -13,8 +13,11 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use acaciaring_schema::peer::{Call, Fetch, Reply, Request, StatusQuery, call, reply};
+use acaciaring_schema::peer::{
+    Call, Fetch, Reason, Reply, Request, StatusQuery, Verdict, call, reply,
+};
 
+use crate::body_memory::BodyMemory;
 use crate::clock;
 use crate::egress::Egress;
 use crate::metrics::Metrics;
@@ -449,3 +452,32 @@
     let large = request(vec![b'x'; 2 << 20]);
     assert!(frame::encode_request(large, 2 << 20).is_err(), "above the limit");
 }
+
+/// Guards against a member that takes requests for which it has no memory, and against a sender
+/// that does not learn that such a request has not run.
+#[test]
+fn a_request_without_room_is_refused_as_not_run() {
+    let authority = Authority::new();
+    let egress = Egress::new(125_000_000);
+    let bodies = BodyMemory::new(4 << 20, Metrics::none());
+    let (settings, memory) = (authority.settings(), bodies.clone());
+    let server = Node::start_with(
+        |request, _| echo(request),
+        |handler| {
+            let metrics = Metrics::none();
+            Transport::limited(settings, handler, metrics, egress, memory).unwrap()
+        },
+    );
+    let client = Node::echo(authority.settings());
+    let to = server.transport.local_addr();
+    let held = bodies.take(clock::now(), 3 << 20).expect("room");
+    let outcome = client.transport.blocking_request(to, request(vec![b'x'; 1 << 20]), WAIT_TIMEOUT);
+    let RequestOutcome::Answer(answer) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((answer.verdict(), answer.reason()), (Verdict::NotRun, Reason::Busy));
+    assert_eq!(server.runs(), 0);
+    drop(held);
+    let body = vec![b'x'; 1 << 20];
+    let outcome = client.transport.blocking_request(to, request(body.clone()), WAIT_TIMEOUT);
+    assert!(outcome == RequestOutcome::Answer(echo(request(body))), "it runs once there is room");
+    support::wait_for(|| bodies.used() == 0);
+}
--- a/acaciaringd/src/peer/transport.rs
+++ b/acaciaringd/src/peer/transport.rs
@@ -17,6 +17,7 @@
 use acaciaring_schema::peer::{Answer, Datagram, Request, call, reply};
 use prost::Message;
 
+use crate::body_memory::BodyMemory;
 use crate::egress::Egress;
 use crate::metrics::Metrics;
 use crate::peer::attempt::{RequestOutcome, RunningRequest};
@@ -46,6 +47,9 @@
 /// Limit on log lines about messages that a stop cuts off; the number of all is logged as `due`.
 const MAX_UNSETTLED_LINES: usize = 50;
 
+/// Memory of requests where no other limit is given, in bytes.
+const DEFAULT_BODY_BYTES: u64 = 64 << 20;
+
 /// Interval at which a stop checks for messages in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -98,6 +102,8 @@
     pub metrics: Metrics,
     /// Permits for large answers.
     pub egress: Egress,
+    /// Memory of the requests of other members.
+    pub bodies: BodyMemory,
     links: AtomicU64,
     stopped: AtomicBool,
 }
@@ -151,6 +157,23 @@
         handler: Arc<dyn Handler>,
         metrics: Metrics,
         egress: Egress,
+    ) -> Result<Self, PeerError> {
+        let bodies = BodyMemory::new(DEFAULT_BODY_BYTES, Metrics::none());
+        Self::limited(settings, handler, metrics, egress, bodies)
+    }
+
+    /// Like [`Transport::metered`], with the memory of requests, which is shared with the listener
+    /// for callers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Transport::start`].
+    pub fn limited(
+        settings: PeerSettings,
+        handler: Arc<dyn Handler>,
+        metrics: Metrics,
+        egress: Egress,
+        bodies: BodyMemory,
     ) -> Result<Self, PeerError> {
         let Configs { fingerprint, trusted, server, client } = tls::configs(&settings)?;
         let runtime = Threads::start(settings.threads).context(ThreadsSnafu)?;
@@ -180,6 +203,7 @@
             stopped_peers: StoppedProcesses::default(),
             metrics,
             egress,
+            bodies,
             links: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         });
--- a/acaciaringd/src/web/mod.rs
+++ b/acaciaringd/src/web/mod.rs
@@ -2,6 +2,7 @@
 //! reports whether a request may have been sent.
 
 mod answer_id;
+mod body;
 mod client;
 mod error;
 mod held;
@@ -16,4 +17,5 @@
 pub use self::error::ExchangeError;
 pub use self::held::HeldBytes;
 pub(crate) use self::incomplete::IncompleteAnswers;
-pub use self::server::{Fault, HttpHandler, Response, Server, WebError, text};
+pub use self::server::{Fault, HttpHandler, Response, Server, ServerLimits, WebError, text};
+pub use crate::body_memory::BodyMemory;
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -12,11 +12,11 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::http::{StatusCode, header};
+use hyper::http::{HeaderValue, StatusCode, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -24,11 +24,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::{debug, warn};
 
+use crate::body_memory::BodyMemory;
 use crate::declared::CallerLimits;
+use crate::metrics::Metrics;
 use crate::peer::BoxFuture;
+use crate::web::body;
 use crate::web::held::HeldBytes;
 use crate::web::io::TimedConnection;
 
@@ -38,15 +41,15 @@
 /// Delay after a failed accept, which is usually due to a lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Timeout for receiving a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Interval at which a drain checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Minimum buffer size for a head that `hyper` accepts, bytes.
 const MIN_HEAD_BUFFER: usize = 8192;
 
+/// Retry delay of a request for whose body there is no room, seconds.
+const RETRY_AFTER: &str = "1";
+
 /// Error of starting a listener.
 #[derive(Debug, Snafu)]
 pub enum WebError {
@@ -69,6 +72,8 @@
     Slow,
     /// The body is malformed or truncated.
     Malformed,
+    /// The bodies of all requests take too much memory.
+    NoRoom,
 }
 
 impl Fault {
@@ -79,8 +84,30 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         };
-        text(status, "")
+        let mut response = text(status, "");
+        if self == Self::NoRoom {
+            let retry = HeaderValue::from_static(RETRY_AFTER);
+            response.headers_mut().insert(header::RETRY_AFTER, retry);
+        }
+        response
+    }
+}
+
+/// Limits of a listener, and the counts that it keeps.
+#[derive(Debug, Clone)]
+pub struct ServerLimits {
+    /// Memory of request bodies.
+    pub bodies: BodyMemory,
+    /// Count of answer bytes, which includes an answer until it is written.
+    pub held: HeldBytes,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        let bodies = BodyMemory::new(16 << 20, Metrics::none());
+        Self { bodies, held: HeldBytes::default() }
     }
 }
 
@@ -137,19 +164,19 @@
         address: SocketAddr,
         handler: Arc<dyn HttpHandler>,
     ) -> Result<Self, WebError> {
-        Self::start_counted(runtime, address, handler, HeldBytes::default())
+        Self::start_limited(runtime, address, handler, ServerLimits::default())
     }
 
-    /// Starts a listener like [`Self::start`] and counts its answers as held until they are written.
+    /// Starts a listener like [`Self::start`] with other limits.
     ///
     /// # Errors
     ///
     /// Fails if the address cannot be bound.
-    pub fn start_counted(
+    pub fn start_limited(
         runtime: &Handle,
         address: SocketAddr,
         handler: Arc<dyn HttpHandler>,
-        held: HeldBytes,
+        limits: ServerLimits,
     ) -> Result<Self, WebError> {
         let failed = |source| WebError::Listen { address, source };
         let socket = std::net::TcpListener::bind(address).map_err(failed)?;
@@ -158,12 +185,13 @@
         let _entered = runtime.enter();
         let listener = TcpListener::from_std(socket).map_err(failed)?;
         let (phase, receiver) = watch::channel(Phase::Open);
+        let ServerLimits { bodies, held } = limits;
         let (requests, connections) = (Arc::default(), Arc::default());
-        let open = Arc::clone(&connections);
         let dispatcher = Arc::new(Dispatcher {
             handler,
             requests: Arc::clone(&requests),
-            connections: open,
+            connections: Arc::clone(&connections),
+            bodies,
             held,
         });
         runtime.spawn(accept(listener, dispatcher, receiver));
@@ -200,11 +228,12 @@
     }
 }
 
-/// Handler with the counters of requests and connections.
+/// Handler with the limits and counters of its listener.
 struct Dispatcher {
     handler: Arc<dyn HttpHandler>,
     requests: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    bodies: BodyMemory,
     held: HeldBytes,
 }
 
@@ -312,7 +341,7 @@
     /// Answers a request unless its caller closed the connection before the body was complete.
     async fn answer(&self, request: hyper::Request<Incoming>, closed: &AtomicBool) -> Response {
         let (head, body) = request.into_parts();
-        let body = self.read(body).await;
+        let body = body::read(body, self.handler.limits(), &self.bodies).await;
         if closed.load(Ordering::Acquire) {
             // Dropped with the connection, whose next read returns the end of the stream.
             return pending().await;
@@ -322,21 +351,12 @@
             Err(fault) => {
                 debug!(?fault, path = head.uri.path(), "request rejected: incomplete body");
                 let mut response = self.handler.refuse(fault);
-                let close = header::HeaderValue::from_static("close");
+                let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
                 response
             }
         }
     }
-
-    async fn read(&self, body: Incoming) -> Result<Bytes, Fault> {
-        let limit = self.handler.limits().body;
-        let stated = hyper::body::Body::size_hint(&body).lower();
-        if stated > limit as u64 {
-            return Err(Fault::TooLarge);
-        }
-        timeout(BODY_TIMEOUT, collect(body, limit)).await.unwrap_or(Err(Fault::Slow))
-    }
 }
 
 /// Counts the body of a response as held.
@@ -345,25 +365,3 @@
     let Ok(body) = body.collect().await;
     Response::from_parts(parts, Full::new(held.wrap(body.to_bytes())))
 }
-
-/// Reads a body of at most `limit` bytes; a body in a single frame is not copied.
-async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Fault> {
-    let mut first = Bytes::new();
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Fault::Malformed)?.into_data() else { continue };
-        if first.len() + buffer.len() + data.len() > limit {
-            return Err(Fault::TooLarge);
-        }
-        if first.is_empty() && buffer.is_empty() {
-            first = data;
-            continue;
-        }
-        if !first.is_empty() {
-            buffer.extend_from_slice(&first);
-            first = Bytes::new();
-        }
-        buffer.extend_from_slice(&data);
-    }
-    Ok(if buffer.is_empty() { first } else { buffer.freeze() })
-}
--- a/acaciaringd/tests/web_held.rs
+++ b/acaciaringd/tests/web_held.rs
@@ -11,7 +11,8 @@
 use acaciaringd::entry::{Entry, EntryAnswer, EntryRequest, EntrySettings, Service};
 use acaciaringd::peer::BoxFuture;
 use acaciaringd::web::{
-    Client, ClientSettings, ExchangeError, HeldBytes, HttpHandler, Response, Server, text,
+    Client, ClientSettings, ExchangeError, HeldBytes, HttpHandler, Response, Server, ServerLimits,
+    text,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -60,7 +61,8 @@
         let runtime = runtime.expect("a runtime");
         let (site, held) = (Arc::new(Site::default()), HeldBytes::default());
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start_counted(runtime.handle(), address, site.clone(), held.clone());
+        let limits = ServerLimits { held: held.clone(), ..ServerLimits::default() };
+        let server = Server::start_limited(runtime.handle(), address, site.clone(), limits);
         Self { server: server.expect("it listens"), site, held, _runtime: runtime }
     }
 
