Limit the connections of callers

Callers that open connections and send nothing, or a part of a head, took all descriptors of a process: nothing limited them.

Connections of callers now take at most an eighth of the memory at 32 KiB each, and half of the descriptors beyond the 200 that a deployment keeps for others (FdLimit, setting limits.descriptors). At the limit, the one that has waited the longest for a request, or for the rest of one, is closed for the new one; a request that has arrived in that moment does not run. Where each has a request that is being answered, the new one is closed unread. What a caller has sent and the process has not read takes 64 KiB in the kernel at most.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod balance;
 pub mod body_budget;
+pub mod connection_limit;
 pub mod dedup;
 pub mod evacuation;
 pub mod fanout;
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -47,7 +47,7 @@
     WaitLimit,
 };
 use crate::view::Shared;
-use crate::web::{self, ServerLimits, WebError};
+use crate::web::{self, WebError};
 
 /// Part of the entry workers whose requests may wait for a takeover: one in this many.
 const WAITER_DIVISOR: usize = 4;
@@ -188,7 +188,7 @@
         };
         let polls = PollWait::new(Arc::clone(&shared), settings.log.wait);
         let held = shared.held.clone();
-        let callers = ServerLimits { bodies: bodies.clone(), held };
+        let callers = options::caller_limits(settings, bodies.clone(), held, metrics.clone());
         let listener_context = ListenerContext {
             callers,
             runtime: transport.runtime().clone(),
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -11,12 +11,15 @@
 use acaciaring_core::state::HOT_MAX;
 use acaciaring_schema::settings::{Lease, Settings, UpstreamGrants};
 
+use crate::body_memory::BodyMemory;
 use crate::control::Location;
 use crate::entry::EntrySettings;
 use crate::gate::GateSettings;
+use crate::metrics::Metrics;
 use crate::peer::PeerSettings;
 use crate::platform::{LogClient, LogTimeouts};
 use crate::router::{ClusterBudget, RetryBudgets};
+use crate::web::{HeldBytes, ServerLimits};
 
 /// Allowance for headers and metadata in a message between members, in bytes.
 const ENVELOPE_BYTES: u64 = 256 << 10;
@@ -24,6 +27,15 @@
 /// Divisor of the memory of the process that gives the part for request bodies.
 const BODIES_DIVISOR: u64 = 2;
 
+/// Divisor of the memory of the process that gives the part for connections of callers.
+const CONNECTIONS_DIVISOR: u64 = 8;
+
+/// Memory of a connection of a caller: its buffers, with a head that has not ended.
+const CONNECTION_BYTES: u64 = 32 << 10;
+
+/// File descriptors for other uses than sockets.
+const OTHER_DESCRIPTORS: u32 = 200;
+
 /// Longest term of a lease when grants are sent to the upstream by calls.
 ///
 /// Calls renew a grant several times within this term; heartbeats may be too rare for that.
@@ -68,6 +80,20 @@
     usize::try_from(settings.limits.body + ENVELOPE_BYTES).unwrap_or(usize::MAX)
 }
 
+/// Returns the limits of the listener for callers.
+pub(super) fn caller_limits(
+    settings: &Settings,
+    bodies: BodyMemory,
+    held: HeldBytes,
+    metrics: Metrics,
+) -> ServerLimits {
+    let limits = &settings.limits;
+    let by_memory = limits.memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+    let by_descriptors = (limits.descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2) as usize;
+    let connections = usize::try_from(by_memory).unwrap_or(usize::MAX).min(by_descriptors);
+    ServerLimits { connections, bodies, held, metrics }
+}
+
 /// Returns the memory for request bodies in bytes.
 pub(super) const fn body_memory(settings: &Settings) -> u64 {
     settings.limits.memory / BODIES_DIVISOR
--- a/acaciaringd/src/metrics/mod.rs
+++ b/acaciaringd/src/metrics/mod.rs
@@ -77,6 +77,8 @@
         RequestsHeldUp = "requests.held_up", "requests";
         /// Request bodies given up because all bodies together took too much memory.
         BodiesRefused = "bodies.refused", "bodies";
+        /// Connections of callers closed because there were too many.
+        ConnectionsClosed = "connections.closed", "connections";
         /// Requests refused because upstreams crash when they run them.
         RequestsQuarantined = "requests.quarantined", "requests";
         /// Repeated requests answered from the deduplication state.
--- a/acaciaringd/src/web/io.rs
+++ b/acaciaringd/src/web/io.rs
@@ -7,12 +7,15 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use acaciaring_core::connection_limit::Phase;
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::connections::Activity;
+
 /// Timeout of a write without progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -35,8 +38,7 @@
     stream: TcpStream,
     arrival: Duration,
     idle: Duration,
-    /// True while a request is in progress.
-    busy: Arc<AtomicBool>,
+    activity: Arc<Activity>,
     /// True once the caller has closed the connection.
     closed: Arc<AtomicBool>,
     wait: Wait,
@@ -50,7 +52,7 @@
         stream: TcpStream,
         arrival: Duration,
         idle: Duration,
-        busy: Arc<AtomicBool>,
+        activity: Arc<Activity>,
         closed: Arc<AtomicBool>,
     ) -> Self {
         let read_timer = Box::pin(sleep_until(Instant::now() + idle));
@@ -58,7 +60,7 @@
             stream,
             arrival,
             idle,
-            busy,
+            activity,
             closed,
             wait: Wait::Idle,
             read_timer,
@@ -81,7 +83,10 @@
 
     /// Updates the read state, and resets the read timeout if the state changes.
     fn update_wait(&mut self, received: bool) {
-        let busy = self.busy.load(Ordering::Acquire);
+        let busy = self.activity.is_busy();
+        if !busy && self.write_timer.is_none() {
+            self.activity.enter(Phase::Receiving);
+        }
         let next = match (busy, self.wait, received) {
             (true, _, _) => Wait::Busy,
             (false, Wait::Idle | Wait::Busy, false) => Wait::Idle,
--- a/acaciaringd/src/web/mod.rs
+++ b/acaciaringd/src/web/mod.rs
@@ -4,6 +4,7 @@
 mod answer_id;
 mod body;
 mod client;
+mod connections;
 mod error;
 mod held;
 mod incomplete;
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use acaciaring_core::connection_limit::Phase as ConnectionPhase;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -20,6 +21,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
@@ -32,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::peer::BoxFuture;
 use crate::web::body;
+use crate::web::connections::{Activity, Connections, OpenConnection};
 use crate::web::held::HeldBytes;
 use crate::web::io::TimedConnection;
 
@@ -47,6 +50,9 @@
 /// Minimum buffer size for a head that `hyper` accepts, bytes.
 const MIN_HEAD_BUFFER: usize = 8192;
 
+/// Receive buffer of a connection, bytes; the kernel holds as much for a caller that is not read.
+const RECEIVE_BUFFER: usize = 64 << 10;
+
 /// Retry delay of a request for whose body there is no room, seconds.
 const RETRY_AFTER: &str = "1";
 
@@ -98,16 +104,25 @@
 /// Limits of a listener, and the counts that it keeps.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
+    /// Maximum number of connections; one that waits gives way to a new one.
+    pub connections: usize,
     /// Memory of request bodies.
     pub bodies: BodyMemory,
     /// Count of answer bytes, which includes an answer until it is written.
     pub held: HeldBytes,
+    /// Counters of bodies and connections that were given up.
+    pub metrics: Metrics,
 }
 
 impl Default for ServerLimits {
     fn default() -> Self {
-        let bodies = BodyMemory::new(16 << 20, Metrics::none());
-        Self { bodies, held: HeldBytes::default() }
+        let metrics = Metrics::none();
+        Self {
+            connections: 64,
+            bodies: BodyMemory::new(16 << 20, metrics.clone()),
+            held: HeldBytes::default(),
+            metrics,
+        }
     }
 }
 
@@ -150,7 +165,7 @@
     address: SocketAddr,
     phase: watch::Sender<Phase>,
     requests: Arc<AtomicUsize>,
-    connections: Arc<AtomicUsize>,
+    connections: Arc<Connections>,
 }
 
 impl Server {
@@ -180,13 +195,17 @@
     ) -> Result<Self, WebError> {
         let failed = |source| WebError::Listen { address, source };
         let socket = std::net::TcpListener::bind(address).map_err(failed)?;
+        // Connections inherit it.
+        sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER)
+            .map_err(|error| failed(error.into()))?;
         socket.set_nonblocking(true).map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
         let _entered = runtime.enter();
         let listener = TcpListener::from_std(socket).map_err(failed)?;
         let (phase, receiver) = watch::channel(Phase::Open);
-        let ServerLimits { bodies, held } = limits;
-        let (requests, connections) = (Arc::default(), Arc::default());
+        let ServerLimits { connections, bodies, held, metrics } = limits;
+        let requests = Arc::default();
+        let connections = Arc::new(Connections::new(connections, metrics));
         let dispatcher = Arc::new(Dispatcher {
             handler,
             requests: Arc::clone(&requests),
@@ -215,7 +234,7 @@
         let start = std::time::Instant::now();
         loop {
             std::thread::sleep(POLL_INTERVAL);
-            let connections = self.connections.load(Ordering::Acquire);
+            let connections = self.connections.count();
             if connections > 0 && start.elapsed() < bound {
                 continue;
             }
@@ -232,7 +251,7 @@
 struct Dispatcher {
     handler: Arc<dyn HttpHandler>,
     requests: Arc<AtomicUsize>,
-    connections: Arc<AtomicUsize>,
+    connections: Arc<Connections>,
     bodies: BodyMemory,
     held: HeldBytes,
 }
@@ -242,6 +261,7 @@
     dispatcher: Arc<Dispatcher>,
     mut phase: watch::Receiver<Phase>,
 ) {
+    let mut number = 0;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -249,12 +269,19 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                number += 1;
                 // Counted before its task starts, so that a drain misses none.
-                let open = ConnectionGuard::new(&dispatcher.connections);
-                let served = serve(stream, Arc::clone(&dispatcher), phase.clone());
+                let Some(open) = dispatcher.connections.open(number).await else { continue };
+                let OpenConnection { activity, closed, guard } = open;
+                let served = serve(stream, Arc::clone(&dispatcher), activity, phase.clone());
                 tokio::spawn(async move {
-                    served.await;
-                    drop(open);
+                    tokio::select! {
+                        // Checked first: a request that is read now must not run.
+                        biased;
+                        _ = closed => {}
+                        () = served => {}
+                    }
+                    drop(guard);
                 });
             }
             Err(error) => {
@@ -266,20 +293,26 @@
 }
 
 /// Serves one connection until it ends.
-async fn serve(stream: TcpStream, dispatcher: Arc<Dispatcher>, mut phase: watch::Receiver<Phase>) {
+async fn serve(
+    stream: TcpStream,
+    dispatcher: Arc<Dispatcher>,
+    activity: Arc<Activity>,
+    mut phase: watch::Receiver<Phase>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(%error, "connection closed before it was served");
         return;
     }
     let CallerLimits { head, arrival, idle, .. } = dispatcher.handler.limits();
-    let (busy, closed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let timed = TimedConnection::new(stream, arrival, idle, Arc::clone(&busy), Arc::clone(&closed));
+    let closed = Arc::new(AtomicBool::new(false));
+    let timed =
+        TimedConnection::new(stream, arrival, idle, Arc::clone(&activity), Arc::clone(&closed));
     let io = TokioIo::new(timed);
     let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let guard = RequestGuard::new(&dispatcher.requests, &busy);
+        let guard = RequestGuard::new(&dispatcher.requests, &activity);
         let (dispatcher, closed) = (Arc::clone(&dispatcher), Arc::clone(&closed));
         async move {
-            let response = dispatcher.answer(request, &closed).await;
+            let response = dispatcher.answer(request, &guard.activity, &closed).await;
             let response = count_body(response, &dispatcher.held).await;
             drop(guard);
             Ok::<_, Infallible>(response)
@@ -300,49 +333,38 @@
     }
 }
 
-/// Counts a connection as open until dropped.
-struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl ConnectionGuard {
-    fn new(connections: &Arc<AtomicUsize>) -> Self {
-        connections.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(connections))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Counts a request as in progress until dropped.
 struct RequestGuard {
     requests: Arc<AtomicUsize>,
-    busy: Arc<AtomicBool>,
+    activity: Arc<Activity>,
 }
 
 impl RequestGuard {
-    fn new(requests: &Arc<AtomicUsize>, busy: &Arc<AtomicBool>) -> Self {
+    fn new(requests: &Arc<AtomicUsize>, activity: &Arc<Activity>) -> Self {
         requests.fetch_add(1, Ordering::AcqRel);
-        busy.store(true, Ordering::Release);
-        Self { requests: Arc::clone(requests), busy: Arc::clone(busy) }
+        activity.set_busy(true);
+        Self { requests: Arc::clone(requests), activity: Arc::clone(activity) }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.busy.store(false, Ordering::Release);
+        self.activity.set_busy(false);
         self.requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 impl Dispatcher {
     /// Answers a request unless its caller closed the connection before the body was complete.
-    async fn answer(&self, request: hyper::Request<Incoming>, closed: &AtomicBool) -> Response {
+    async fn answer(
+        &self,
+        request: hyper::Request<Incoming>,
+        activity: &Activity,
+        closed: &AtomicBool,
+    ) -> Response {
         let (head, body) = request.into_parts();
         let body = body::read(body, self.handler.limits(), &self.bodies).await;
-        if closed.load(Ordering::Acquire) {
+        if closed.load(Ordering::Acquire) || !activity.enter(ConnectionPhase::Answering) {
             // Dropped with the connection, whose next read returns the end of the stream.
             return pending().await;
         }
