State the memory and the descriptors of a process in its settings

The limits on what is held for callers came to the process in the variable with the bounds of the deployment, behind them and a comma. Where the platform fills the bounds in as a table, that is no valid table any more, and all bounds were ignored, those of retries among them. On sites/ the bounds are a list, and nothing broke.

The template of the settings states both now; the variable is as before. The part of the memory for answers that callers have not read is derived where the others are.

--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -331,7 +331,7 @@
         declarations: Arc::clone(declarations),
         log_limit: LogLimiter::new(MAX_LOG_LINES),
         late_limit: LogLimiter::new(MAX_LATE_LOG_LINES),
-        held: HeldAnswers::new(shared.held.clone(), settings.limits.held),
+        held: HeldAnswers::new(shared.held.clone(), options::held_limit(settings)),
         lag_monitor: LagMonitor::start(transport.runtime()),
     })
 }
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -27,6 +27,9 @@
 /// Divisor of the memory of the process that gives the part for request bodies.
 const BODIES_DIVISOR: u64 = 2;
 
+/// Divisor of the memory of the process that gives the part for answers that callers have not read.
+const HELD_DIVISOR: u64 = 8;
+
 /// Divisor of the memory of the process that gives the part for connections of callers.
 const CONNECTIONS_DIVISOR: u64 = 8;
 
@@ -99,6 +102,11 @@
     settings.limits.memory / BODIES_DIVISOR
 }
 
+/// Returns the limit on answers that callers have not read in bytes.
+pub(super) fn held_limit(settings: &Settings) -> u64 {
+    settings.limits.held.min(settings.limits.memory / HELD_DIVISOR)
+}
+
 /// Returns the settings of the entry for callers.
 pub(super) fn entry_settings(settings: &Settings) -> EntrySettings {
     EntrySettings {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -118,6 +118,8 @@
             ("Platform.WritesPerS", "400"),
             ("Platform.ReadsPerS", "2000"),
             ("Limits.LinkMbps", "1000.0"),
+            ("Limits.MemoryMb", "260"),
+            ("Limits.FdLimit", "4100"),
             ("Service", service),
             ("AppAddress", &at.app.to_string()),
             ("HeartbeatIntervalMs", &BEAT.as_millis().to_string()),
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -71,6 +71,11 @@
             .replace("{{Platform.WritesPerS}}", "400")
             .replace("{{Platform.ReadsPerS}}", "2000")
             .replace("{{#Limits.LinkMbps}}link = {{.}}{{/Limits.LinkMbps}}", "link = 1000.0")
+            .replace(
+                "{{#Limits.MemoryMb}}memory = {{Limits.MemoryMb}}000000B{{/Limits.MemoryMb}}",
+                "memory = 260000000B",
+            )
+            .replace("{{#Limits.FdLimit}}descriptors = {{Limits.FdLimit}}{{/Limits.FdLimit}}", "descriptors = 4100")
             .replace("{{Service}}", service)
             .replace("{{AppAddress}}", &format!("{ip}:{APP}"))
             .replace("{{HeartbeatIntervalMs}}", "870")
