Take the connections that callers open in an overload

A connection without a large head takes 16 KiB at most, not 32, so connections now take a quarter of the memory at 16 KiB each, and three quarters of the descriptors beyond 200. What was allowed for is limited where it is taken: at most an eighth of the connections may hold a part of a head, the oldest gives way; and heads above 2 KiB count five times their size, as small bodies, while their requests are answered.

--- a/acaciaring_core/src/connection_limit.rs
+++ b/acaciaring_core/src/connection_limit.rs
@@ -5,8 +5,10 @@
 /// What a connection does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
-    /// Waits for a request or for the rest of one.
+    /// Waits for a request, or for the rest of its body.
     Receiving,
+    /// Waits for the rest of a head.
+    Head,
     /// Has a request that is being answered, or an answer that is being written.
     Answering,
 }
@@ -30,9 +32,16 @@
     if open.len() < limit {
         return Admission::Open;
     }
-    let waiting = open.filter(|(_, phase, _)| *phase == Phase::Receiving);
+    let waiting = open.filter(|(_, phase, _)| *phase != Phase::Answering);
     match waiting.min_by_key(|(_, _, since)| *since) {
         Some((id, _, _)) => Admission::Replace(id),
         None => Admission::Refuse,
     }
 }
+
+/// Returns the connection that has waited the longest for the rest of a head, which is to be closed
+/// when there are too many.
+pub fn oldest_head<Id>(open: impl Iterator<Item = (Id, Phase, Time)>) -> Option<Id> {
+    let heads = open.filter(|(_, phase, _)| *phase == Phase::Head);
+    heads.min_by_key(|(_, _, since)| *since).map(|(id, _, _)| id)
+}
--- a/acaciaringd/src/daemon/options.rs
+++ b/acaciaringd/src/daemon/options.rs
@@ -31,10 +31,10 @@
 const HELD_DIVISOR: u64 = 8;
 
 /// Divisor of the memory of the process that gives the part for connections of callers.
-const CONNECTIONS_DIVISOR: u64 = 8;
+const CONNECTIONS_DIVISOR: u64 = 4;
 
-/// Memory of a connection of a caller: its buffers, with a head that has not ended.
-const CONNECTION_BYTES: u64 = 32 << 10;
+/// Memory of a connection of a caller; an eighth of them may hold a part of a head besides.
+const CONNECTION_BYTES: u64 = 16 << 10;
 
 /// File descriptors for other uses than sockets.
 const OTHER_DESCRIPTORS: u32 = 200;
@@ -92,7 +92,8 @@
 ) -> ServerLimits {
     let limits = &settings.limits;
     let by_memory = limits.memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
-    let by_descriptors = (limits.descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2) as usize;
+    let sockets = limits.descriptors.saturating_sub(OTHER_DESCRIPTORS);
+    let by_descriptors = (sockets - sockets / 4) as usize;
     let connections = usize::try_from(by_memory).unwrap_or(usize::MAX).min(by_descriptors);
     ServerLimits { connections, bodies, held, metrics }
 }
--- a/acaciaringd/src/web/io.rs
+++ b/acaciaringd/src/web/io.rs
@@ -84,14 +84,18 @@
     /// Updates the read state, and resets the read timeout if the state changes.
     fn update_wait(&mut self, received: bool) {
         let busy = self.activity.is_busy();
-        if !busy && self.write_timer.is_none() {
-            self.activity.enter(Phase::Receiving);
-        }
         let next = match (busy, self.wait, received) {
             (true, _, _) => Wait::Busy,
             (false, Wait::Idle | Wait::Busy, false) => Wait::Idle,
             (false, _, _) => Wait::Head,
         };
+        match next {
+            Wait::Head => drop(self.activity.enter(Phase::Head)),
+            Wait::Idle if self.write_timer.is_none() => {
+                self.activity.enter(Phase::Receiving);
+            }
+            Wait::Idle | Wait::Busy => {}
+        }
         if next != self.wait {
             self.wait = next;
             let timeout = if next == Wait::Head { self.arrival } else { self.idle };
--- a/acaciaringd/src/web/server.rs
+++ b/acaciaringd/src/web/server.rs
@@ -29,7 +29,8 @@
 use tokio::time::sleep;
 use tracing::{debug, warn};
 
-use crate::body_memory::BodyMemory;
+use crate::body_memory::{BodyMemory, Charge};
+use crate::clock;
 use crate::declared::CallerLimits;
 use crate::metrics::Metrics;
 use crate::peer::BoxFuture;
@@ -53,6 +54,12 @@
 /// Receive buffer of a connection, bytes; the kernel holds as much for a caller that is not read.
 const RECEIVE_BUFFER: usize = 64 << 10;
 
+/// Size of a head up to which its memory is that of its connection, bytes.
+const SMALL_HEAD: usize = 2 << 10;
+
+/// Copies of a head that are made while its request is answered.
+const HEAD_COPIES: usize = 5;
+
 /// Retry delay of a request for whose body there is no room, seconds.
 const RETRY_AFTER: &str = "1";
 
@@ -364,6 +371,8 @@
     ) -> Response {
         let (head, body) = request.into_parts();
         let body = body::read(body, self.handler.limits(), &self.bodies).await;
+        let charge = self.charge(&head);
+        let body = body.and_then(|body| charge.as_ref().map(|_| body).map_err(|fault| *fault));
         if closed.load(Ordering::Acquire) || !activity.enter(ConnectionPhase::Answering) {
             // Dropped with the connection, whose next read returns the end of the stream.
             return pending().await;
@@ -381,6 +390,21 @@
     }
 }
 
+impl Dispatcher {
+    /// Takes memory for a large head and its copies, as for a body.
+    fn charge(&self, head: &Parts) -> Result<Option<Charge>, Fault> {
+        let headers = head.headers.iter();
+        let fields: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+        let size = fields + path;
+        if size <= SMALL_HEAD {
+            return Ok(None);
+        }
+        let charge = self.bodies.take(clock::now(), size * HEAD_COPIES);
+        charge.map(Some).ok_or(Fault::NoRoom)
+    }
+}
+
 /// Counts the body of a response as held.
 async fn count_body(response: Response, held: &HeldBytes) -> Response {
     let (parts, body) = response.into_parts();
