Write a large message for as long as its receiver responds

A message had the time to be written that it takes alone on the link.

Messages that fit the window of a connection are written at once, as before.

--- a/acaciaringd/src/peer/exchange.rs
+++ b/acaciaringd/src/peer/exchange.rs
@@ -151,15 +151,15 @@
         let Ok(Some((mut stream, reader))) = opened else {
             continue;
         };
-        let mut parts = frame.to_vec();
-        match time::timeout_at(limit, stream.write_all_chunks(&mut parts)).await {
-            Ok(Ok(())) => {
+        let pause = ack_timeout(shared, &link.conn, size);
+        match write_while_alive(&mut stream, frame, &link, pause, deadline).await {
+            Some(Ok(())) => {
                 // Fails only if the peer has stopped reading; the reply's error gives the reason.
                 let _ = stream.finish();
                 return Ok(SentMessage { link, stream, reader });
             }
             // The peer has no room for the message, and says so in its reply.
-            Ok(Err(WriteError::Stopped(code))) if code == VarInt::from(Code::Busy) => {
+            Some(Err(WriteError::Stopped(code))) if code == VarInt::from(Code::Busy) => {
                 return Ok(SentMessage { link, stream, reader });
             }
             _ => {}
@@ -169,6 +169,31 @@
     UnsentSnafu { peer: to }.fail()
 }
 
+/// Writes a message, given in parts; `None` if no packet arrives for `pause`, or at the deadline.
+///
+/// Guards against a member that is suspected, and refused ordinary requests, because many large
+/// messages to it share its connection.
+async fn write_while_alive(
+    stream: &mut SendStream,
+    frame: &[Bytes],
+    link: &Link,
+    pause: Duration,
+    deadline: Instant,
+) -> Option<Result<(), WriteError>> {
+    let mut parts = frame.to_vec();
+    let mut write = pin!(stream.write_all_chunks(&mut parts));
+    loop {
+        let before = link.received();
+        let limit = deadline.min(Instant::now() + pause);
+        if let Ok(written) = time::timeout_at(limit, &mut write).await {
+            return Some(written);
+        }
+        if link.received() == before || Instant::now() >= deadline {
+            return None;
+        }
+    }
+}
+
 /// Waits for a reply while the connection is alive; `None` once it is silent.
 ///
 /// A connection is probed after `silent_intervals` intervals without a packet, and when it has been
