Record the departure of an upstream before it is acknowledged

Cause: that an upstream leaves was kept in the memory of its process, which takes the first heartbeat that it gets for the present one.

A departure is now a record of the log, for one incarnation on one VM and final. The fold rejects the attachment of an incarnation that has left. Whether a word tells of a current incarnation is decided by Incarnations alone, for heartbeats, notices and announcements.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -103,6 +103,18 @@
         self.incarnations.current()
     }
 
+    /// Returns the incarnations of the upstream.
+    #[must_use]
+    pub const fn incarnations(&self) -> &Incarnations {
+        &self.incarnations
+    }
+
+    /// Returns the incarnations of the upstream.
+    #[must_use]
+    pub const fn incarnations_mut(&mut self) -> &mut Incarnations {
+        &mut self.incarnations
+    }
+
     /// Handles a heartbeat of the upstream with the ranges that it holds and has released.
     pub fn report(
         &mut self,
--- a/acaciaring_core/src/holds/incarnation.rs
+++ b/acaciaring_core/src/holds/incarnation.rs
@@ -6,7 +6,7 @@
 use crate::id::Name;
 use crate::time::Time;
 
-/// Maximum number of former incarnations kept.
+/// Maximum number of former incarnations kept, and of departed ones.
 const MAX_FORMER: usize = 32;
 
 /// Incarnation of an upstream: one run of it from start to exit.
@@ -23,6 +23,11 @@
     fn follows(&self, other: &Self) -> bool {
         self.instance == other.instance && self.generation > other.generation
     }
+
+    /// Returns true if the departure of this incarnation is also the end of another one.
+    pub(crate) fn ends(&self, other: &Self) -> bool {
+        self == other || self.follows(other)
+    }
 }
 
 impl Display for Incarnation {
@@ -59,6 +64,8 @@
     current: Option<Incarnation>,
     sequence: u64,
     former: Vec<Incarnation>,
+    /// Incarnations that have announced that they leave, oldest first.
+    departed: Vec<Incarnation>,
     /// Other incarnation that has reported once.
     candidate: Option<Candidate>,
     /// When the current incarnation last reported.
@@ -75,6 +82,7 @@
             current: None,
             sequence: 0,
             former: Vec::new(),
+            departed: Vec::new(),
             candidate: None,
             last_report: now,
             first_report: now,
@@ -87,6 +95,39 @@
         self.current.as_ref()
     }
 
+    /// Records that an incarnation leaves.
+    ///
+    /// This is final, so it also holds against heartbeats that were sent before and arrive later.
+    pub fn depart(&mut self, incarnation: &Incarnation) {
+        if self.has_departed(incarnation) {
+            return;
+        }
+        self.departed.push(incarnation.clone());
+        let excess = self.departed.len().saturating_sub(MAX_FORMER);
+        self.departed.drain(..excess);
+    }
+
+    /// Returns true for an incarnation that has announced that it leaves.
+    #[must_use]
+    pub fn has_departed(&self, incarnation: &Incarnation) -> bool {
+        self.departed.iter().any(|departed| departed.ends(incarnation))
+    }
+
+    /// Returns true while the current incarnation leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| self.has_departed(current))
+    }
+
+    /// Returns the incarnation of an instance of which a word sent at `sent` tells; `None` if it is
+    /// of an earlier one under the same name, or if no heartbeat of the instance has arrived.
+    #[must_use]
+    pub fn of_instance(&self, sent: Time, instance: &Name) -> Option<&Incarnation> {
+        let current = self.current.as_ref().filter(|current| current.instance == *instance)?;
+        let replaced = self.former.iter().any(|former| former.instance == *instance);
+        (!replaced || sent >= self.first_report).then_some(current)
+    }
+
     /// Returns when the current incarnation last reported.
     pub(crate) const fn last_report(&self) -> Time {
         self.last_report
--- a/acaciaring_core/src/orders.rs
+++ b/acaciaring_core/src/orders.rs
@@ -111,6 +111,18 @@
         self.incarnations.current()
     }
 
+    /// Returns the incarnations of the upstream.
+    #[must_use]
+    pub const fn incarnations(&self) -> &Incarnations {
+        &self.incarnations
+    }
+
+    /// Returns the incarnations of the upstream.
+    #[must_use]
+    pub const fn incarnations_mut(&mut self) -> &mut Incarnations {
+        &mut self.incarnations
+    }
+
     /// Handles a heartbeat of the upstream, which does not state the keys that it holds.
     pub fn report(&mut self, now: Time, incarnation: &Incarnation, sequence: u64) -> ReportOutcome {
         let report = self.incarnations.report(now, incarnation, sequence);
--- a/acaciaring_core/src/state/fold.rs
+++ b/acaciaring_core/src/state/fold.rs
@@ -88,6 +88,7 @@
             Body::Exit(exit) => self.exit(offset, *exit),
             Body::Evict(evict) => self.evict(offset, evict),
             Body::Settle(_) => self.settle(),
+            Body::Depart(depart) => self.depart(depart),
             Body::Chunk(_) | Body::Commit(_) => Ok(()),
         }
     }
--- a/acaciaring_core/src/state/member.rs
+++ b/acaciaring_core/src/state/member.rs
@@ -2,6 +2,7 @@
 
 use acaciaring_schema::log;
 
+use crate::holds::Incarnation;
 use crate::id::{MemberId, Name, Offset};
 
 /// Lifecycle phase of a member; it only advances.
@@ -26,6 +27,8 @@
     pub fenced: bool,
     /// Instance id of the upstream process, empty when it reports none.
     pub instance: Name,
+    /// Number that grows with each start of the instance, 0 when it reports none.
+    pub born: u64,
 }
 
 /// Cluster member: one run of a router process.
@@ -67,10 +70,19 @@
             upstream: attach.upstream.as_str().into(),
             fenced: attach.fenced,
             instance: attach.instance.as_str().into(),
+            born: attach.born,
         }
     }
 }
 
+impl Attachment {
+    /// Returns the incarnation of the upstream that was attached.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { instance: Name::clone(&self.instance), generation: self.born }
+    }
+}
+
 impl Member {
     /// Returns the member that a `Join` record at `offset` creates, without lessors.
     pub(super) fn from_join(offset: Offset, join: &log::Join) -> Self {
--- a/acaciaring_core/src/state/members.rs
+++ b/acaciaring_core/src/state/members.rs
@@ -28,6 +28,10 @@
         if other_workspace || attachment.workspace.is_empty() {
             return Err(Rejection::Attachment);
         }
+        let instance = Name::clone(&attachment.instance);
+        if self.departures.include(&member.vm, &attachment.incarnation()) {
+            return Err(Rejection::Departed { instance });
+        }
         let workspace = Name::clone(&attachment.workspace);
         member.attachment = Some(attachment);
         self.counts.add_candidate(member);
--- a/acaciaring_core/src/state/mod.rs
+++ b/acaciaring_core/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod counts;
+mod departures;
 mod documents;
 mod fold;
 mod generation;
@@ -21,6 +22,8 @@
 
 pub use self::assignment::{Assignment, HotKey, NUMERIC_KEYS, Service};
 use self::counts::Counts;
+use self::departures::Departures;
+pub use self::departures::{DEPARTURES_MAX, Departure};
 pub use self::documents::Published;
 pub use self::lessors::LESSORS_MAX;
 pub use self::member::{Attachment, Member, Phase, majority};
@@ -54,6 +57,7 @@
     recent: RecentIds,
     skipped: u64,
     counts: Counts,
+    departures: Departures,
 }
 
 impl State {
--- a/acaciaring_core/src/state/outcome.rs
+++ b/acaciaring_core/src/state/outcome.rs
@@ -122,6 +122,12 @@
     /// The member is attached to another workspace or to none, or the record names none.
     #[snafu(display("the member is not attached as the record says"))]
     Attachment,
+    /// The upstream has left and is not attached again.
+    #[snafu(display("upstream {instance:?} has left"))]
+    Departed {
+        /// Instance that the record names.
+        instance: Name,
+    },
     /// The member still owns units.
     #[snafu(display("the member owns {count} units"))]
     Owns {
--- a/acaciaring_core/src/state/snapshot/decode.rs
+++ b/acaciaring_core/src/state/snapshot/decode.rs
@@ -10,8 +10,8 @@
 use crate::route::Document;
 use crate::state::documents::{document_field, document_kind, slot_count};
 use crate::state::{
-    Assignment, Attachment, HOT_MAX, HotKey, LESSORS_MAX, Member, Phase, Published, RECENT_MAX,
-    Rejection, Service, State,
+    Assignment, Attachment, DEPARTURES_MAX, HOT_MAX, HotKey, LESSORS_MAX, Member, Phase, Published,
+    RECENT_MAX, Rejection, Service, State,
 };
 
 /// Exclusive upper bound of valid offsets; leaves room for tokens, which are twice an offset.
@@ -59,6 +59,9 @@
     /// The ids of recent records are malformed, too many or not unique.
     #[snafu(display("ids of recent records in snapshot are malformed, too many or not unique"))]
     Recent,
+    /// The departures of upstreams are malformed, too many or not unique.
+    #[snafu(display("departures in snapshot are malformed, too many or not unique"))]
+    Departures,
 }
 
 impl State {
@@ -95,6 +98,10 @@
             let id = id.as_slice().try_into().ok().context(RecentSnafu)?;
             ensure!(state.recent.insert(id), RecentSnafu);
         }
+        ensure!(snapshot.departures.len() <= DEPARTURES_MAX, DeparturesSnafu);
+        for depart in &snapshot.departures {
+            ensure!(state.depart(depart).is_ok(), DeparturesSnafu);
+        }
         Ok(state)
     }
 
--- a/acaciaring_core/src/state/snapshot/encode.rs
+++ b/acaciaring_core/src/state/snapshot/encode.rs
@@ -4,7 +4,7 @@
 
 use crate::id::MemberId;
 use crate::route::{DocumentField, DocumentKind};
-use crate::state::{Assignment, Member, Phase, Published, Service, State};
+use crate::state::{Assignment, Departure, Member, Phase, Published, Service, State};
 
 impl State {
     /// Returns the state as a message; equal states give equal messages.
@@ -24,6 +24,7 @@
             generation: self.generation.0,
             floor: self.floor,
             settling: self.settling,
+            departures: self.departures.iter().map(Departure::to_record).collect(),
         }
     }
 }
@@ -68,6 +69,7 @@
         upstream: attachment.upstream.to_string(),
         fenced: attachment.fenced,
         instance: attachment.instance.to_string(),
+        born: attachment.born,
     });
     let phase = match member.phase {
         Phase::Alive => wire::MemberPhase::Alive,
--- a/acaciaring_core/tests/fold/members.rs
+++ b/acaciaring_core/tests/fold/members.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 
 use acaciaring_core::MemberId;
-use acaciaring_core::state::{DEAD_MAX, Phase, Rejection, majority};
+use acaciaring_core::state::{DEAD_MAX, DEPARTURES_MAX, Phase, Rejection, State, majority};
 use acaciaring_schema::log::record::Body;
-use acaciaring_schema::log::{Attach, Detach, Evict, Exit, Join, Leave, Lessors, Vote};
+use acaciaring_schema::log::{Attach, Depart, Detach, Evict, Exit, Join, Leave, Lessors, Vote};
 
-use crate::support::{Log, attach, join};
+use crate::support::{CONTRACTS, Log, attach, join};
 
 fn lessors(member: MemberId, base: u64, ids: &[MemberId]) -> Body {
     let lessors = ids.iter().map(|id| id.0).collect();
@@ -274,3 +274,38 @@
     };
     log.applied(Body::Evict(evict));
 }
+
+/// Guards against a restarted process that attaches an upstream which its predecessor has
+/// acknowledged as leaving.
+#[test]
+fn an_upstream_that_has_left_is_not_attached_again() {
+    let mut log = Log::with_service(3, 4);
+    let member = log.join(0);
+    let vm = log.state.member(member).expect("known").vm.to_string();
+    let depart = |born: u64| Depart { vm: vm.clone(), instance: "i-1".into(), born };
+    let attach = |born: u64| {
+        let (workspace, instance) = (CONTRACTS.to_owned(), "i-1".to_owned());
+        Body::Attach(Attach { member: member.0, workspace, instance, born, ..Attach::default() })
+    };
+    log.applied(Body::Depart(depart(5)));
+    let departed = Rejection::Departed { instance: "i-1".into() };
+    assert_eq!(log.rejected(Body::Depart(depart(5))), departed, "it is recorded once");
+    let restored = State::from_snapshot(&log.state.to_snapshot()).expect("a valid snapshot");
+    assert_eq!(restored, log.state);
+    for born in [4, 5] {
+        assert_eq!(log.rejected(attach(born)), departed, "start {born} had ended by then");
+    }
+    log.applied(attach(6));
+}
+
+#[test]
+fn the_oldest_departures_are_forgotten() {
+    let mut log = Log::with_members(1);
+    let depart =
+        |number: usize| Depart { vm: "vm".into(), instance: format!("i-{number}"), born: 0 };
+    for number in 0..=DEPARTURES_MAX {
+        log.applied(Body::Depart(depart(number)));
+    }
+    let kept: Vec<_> = log.state.departures("vm").map(|gone| gone.instance.to_string()).collect();
+    assert_eq!((kept.len(), kept[0].as_str()), (DEPARTURES_MAX, "i-1"));
+}
--- a/acaciaring_core/tests/fold/resume.rs
+++ b/acaciaring_core/tests/fold/resume.rs
@@ -25,6 +25,7 @@
         upstream: format!("{vm}:9000"),
         fenced: true,
         instance: instance.into(),
+        born: 0,
     }));
     member
 }
@@ -108,7 +109,14 @@
         let join = Join { vm: vm.into(), peer: "a:7000".into(), ..Join::default() };
         let member = log.applied(Body::Join(join));
         let (workspace, upstream, instance) = (WORKSPACE.into(), upstream.into(), instance.into());
-        log.applied(Body::Attach(Attach { member, workspace, upstream, fenced: true, instance }));
+        log.applied(Body::Attach(Attach {
+            member,
+            workspace,
+            upstream,
+            fenced: true,
+            instance,
+            born: 0,
+        }));
         assert_eq!(owned(&log.state, members[0]), before, "{vm}");
     }
 }
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -313,3 +313,22 @@
         let _ = REPORT_INTERVAL;
     }
 }
+
+/// Guards against a departure that is undone by a report from before it, or that ends a restarted
+/// upstream.
+#[test]
+fn a_departure_is_final_for_one_incarnation() {
+    let mut holds = Holds::new(at(0), HOLD);
+    holds.incarnations_mut().depart(&restart(5));
+    assert!(!holds.incarnations().is_leaving(), "nothing has reported");
+    holds.report(at(0), &restart(4), 9, Vec::new(), Vec::new());
+    assert!(holds.incarnations().is_leaving(), "the later start has ended it");
+    holds.report(at(10), &restart(5), 1, Vec::new(), Vec::new());
+    assert!(holds.incarnations().is_leaving());
+    let report = holds.report(at(20), &restart(6), 1, Vec::new(), Vec::new());
+    assert_eq!(report, ReportOutcome::NewIncarnation);
+    let incarnations = holds.incarnations();
+    assert!(!incarnations.is_leaving());
+    let of = |sent| incarnations.of_instance(sent, &"i-1".into());
+    assert_eq!((of(at(19)), of(at(20))), (None, Some(&restart(6))), "a notice of the former one");
+}
--- a/acaciaring_core/tests/ownership_schedule.rs
+++ b/acaciaring_core/tests/ownership_schedule.rs
@@ -440,6 +440,7 @@
             upstream: format!("{name}:9000"),
             fenced: true,
             instance: format!("i-{vm}-{}", self.vms[vm].instance),
+            born: 0,
         };
         self.propose(vm, Purpose::Attach, Body::Attach(attach));
     }
--- a/acaciaring_core/tests/support/cluster.rs
+++ b/acaciaring_core/tests/support/cluster.rs
@@ -86,7 +86,7 @@
             let (upstream, instance) = (format!("{id}:9000"), format!("i-{id}"));
             let workspace = WORKSPACE.to_owned();
             let member = id.0;
-            let attach = Attach { member, workspace, upstream, fenced: true, instance };
+            let attach = Attach { member, workspace, upstream, fenced: true, instance, born: 0 };
             assert!(cluster.append(Body::Attach(attach)));
         }
         let assign = Assign { workspace: WORKSPACE.to_owned(), slots: SLOTS };
--- a/acaciaring_model/src/records.rs
+++ b/acaciaring_model/src/records.rs
@@ -108,6 +108,7 @@
         upstream,
         fenced: true,
         instance: String::new(),
+        born: 0,
     })
 }
 
--- a/acaciaringd/src/announce.rs
+++ b/acaciaringd/src/announce.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acaciaring_core::Name;
+use acaciaring_core::holds::Incarnation;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu};
@@ -96,6 +98,13 @@
     pub cold: u64,
 }
 
+impl Announcement {
+    /// Returns the incarnation of the upstream.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation { instance: Name::from(self.instance.as_str()), generation: self.born }
+    }
+}
+
 /// Reply to an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnounceReply {
--- a/acaciaringd/src/control/event.rs
+++ b/acaciaringd/src/control/event.rs
@@ -5,7 +5,7 @@
 
 use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::orders::Answer;
-use acaciaring_core::state::{Outcome, RecordId};
+use acaciaring_core::state::{Departure, Outcome, RecordId};
 use acaciaring_core::{Name, Offset, Time, UnitId};
 use acaciaring_schema::log::{Batch, Publish, Vote};
 use acaciaring_schema::peer::{Datagram, Feed, Release};
@@ -46,8 +46,12 @@
     UnitDenied(Name, UnitId),
     /// Answer to the order with this number.
     OrderAnswered(u64, Answer),
-    /// The upstream instance is leaving and stops its reports; acknowledged once it gets no grants.
-    UpstreamLeaves(Name, oneshot::Sender<()>),
+    /// The upstream instance has stated at this time that it leaves; acknowledged once recorded.
+    UpstreamLeaves(Name, Time, oneshot::Sender<()>),
+    /// An upstream of another member leaves, and the log has not recorded it yet.
+    Departed(Departure),
+    /// Another member keeps a departure until the log has recorded it.
+    DepartureKept(Departure),
     /// A member has these versions of the declarations.
     DeclaredVersion(SocketAddr, KnownVersions),
     /// The known evacuations of data centres have changed.
--- a/acaciaringd/src/control/grant_mode.rs
+++ b/acaciaringd/src/control/grant_mode.rs
@@ -3,7 +3,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use acaciaring_core::holds::{Holds, Incarnation, ReportOutcome};
+use acaciaring_core::holds::{Holds, Incarnation, Incarnations, ReportOutcome};
 use acaciaring_core::orders::Orders;
 use acaciaring_core::{Name, Time, Token, UnitId};
 use acaciaring_schema::settings::UpstreamGrants;
@@ -27,18 +27,29 @@
         }
     }
 
-    /// Returns the current incarnation of the upstream.
-    pub(super) const fn incarnation(&self) -> Option<&Incarnation> {
+    /// Returns the incarnations of the upstream.
+    pub(super) const fn incarnations(&self) -> &Incarnations {
+        match self {
+            Self::Heartbeat(holds) => holds.incarnations(),
+            Self::Call(orders) => orders.incarnations(),
+        }
+    }
+
+    /// Returns the incarnations of the upstream.
+    pub(super) const fn incarnations_mut(&mut self) -> &mut Incarnations {
         match self {
-            Self::Heartbeat(holds) => holds.incarnation(),
-            Self::Call(orders) => orders.incarnation(),
+            Self::Heartbeat(holds) => holds.incarnations_mut(),
+            Self::Call(orders) => orders.incarnations_mut(),
         }
     }
 
+    /// Returns the current incarnation of the upstream.
+    pub(super) const fn incarnation(&self) -> Option<&Incarnation> {
+        self.incarnations().current()
+    }
+
     pub(super) fn report(&mut self, now: Time, heartbeat: &Heartbeat) -> ReportOutcome {
-        let announcement = &heartbeat.announcement;
-        let instance = Name::from(announcement.instance.as_str());
-        let incarnation = Incarnation { instance, generation: announcement.born };
+        let incarnation = heartbeat.announcement.incarnation();
         let sequence = heartbeat.sequence;
         match self {
             Self::Heartbeat(holds) => {
--- a/acaciaringd/src/control/mod.rs
+++ b/acaciaringd/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 mod balance;
 mod catch_up;
+mod departure;
 mod evacuation;
 mod event;
 mod eviction;
@@ -48,6 +49,7 @@
 use tracing::info;
 
 use self::balance::Balance;
+use self::departure::Departures;
 pub(crate) use self::event::{Event, PublishReply};
 use self::eviction::EvictionReasons;
 use self::fold::Progress;
@@ -159,6 +161,8 @@
     announced: Option<Announced>,
     endpoint: Option<UpstreamEndpoint>,
     upstream: UpstreamState,
+    /// Departures of upstreams that the log has not recorded yet.
+    departures: Departures,
     /// Declared configuration in force.
     declared: Option<Arc<Declared>>,
     /// Known evacuations of data centres.
@@ -205,8 +209,7 @@
 
     fn new(context: ControlContext) -> Self {
         let proposals = Proposals::new(context.appender.clone());
-        let upstream =
-            UpstreamState::new(clock::now(), context.upstream.grants, context.upstream.hold);
+        let upstream = UpstreamState::new(clock::now(), &context.upstream);
         Self {
             proposals,
             publish_replies: PublishReplies::default(),
@@ -217,6 +220,7 @@
             announced: None,
             endpoint: None,
             upstream,
+            departures: Departures::default(),
             declared: None,
             evacuations: Evacuations::default(),
             config_queried: Time::ZERO,
@@ -298,12 +302,12 @@
             Event::UnitDenied(workspace, unit) => {
                 self.on_unit_denied(&workspace, unit);
             }
-            Event::UpstreamLeaves(instance, reply) => {
-                self.on_upstream_leaves(now, &instance);
+            Event::UpstreamLeaves(instance, sent, reply) => {
+                self.on_upstream_leaves(now, &instance, sent, reply);
                 self.refresh(now);
-                // The sender may have disconnected.
-                let _ = reply.send(());
             }
+            Event::Departed(departure) => self.keep_departure(now, departure),
+            Event::DepartureKept(departure) => self.departures.kept(&departure),
             Event::OrderAnswered(number, answer) => self.on_order_answered(now, number, &answer),
             Event::DeclaredVersion(from, known) => self.fetch_declaration(now, from, known),
             Event::Evacuations(evacuations) => self.on_evacuations(now, evacuations),
@@ -323,6 +327,7 @@
         self.dirty = true;
         // Maintenance that the records require, such as a sync to a new standby, runs at once.
         self.last_maintenance = Time::ZERO;
+        self.find_departures(now);
         self.find_identity();
         self.trust_members();
         self.update_members(now);
@@ -343,6 +348,7 @@
         self.send_orders(now);
         self.release_units(now);
         self.answer_heartbeat(now);
+        self.record_departures(now);
         if now.since(self.last_maintenance) >= MAINTENANCE_INTERVAL {
             self.last_maintenance = now;
             self.context.metrics.gauge(Gauge::LogGeneration, self.replica.generation().0);
--- a/acaciaringd/src/control/placement.rs
+++ b/acaciaringd/src/control/placement.rs
@@ -48,14 +48,20 @@
 
     /// Handles an announcement of the local upstream.
     pub(super) fn on_announcement(&mut self, now: Time, announcement: Announcement) {
+        let incarnation = announcement.incarnation();
         if announcement.phase == Phase::Draining {
             if self.endpoint.is_some() {
                 info!("the upstream is leaving, moving its units to other members");
             }
+            self.depart(now, incarnation);
             self.announced = None;
             self.detach(now);
             return;
         }
+        if self.upstream.mode.incarnations().has_departed(&incarnation) {
+            info!(%incarnation, "ignoring an announcement of an upstream that has left");
+            return;
+        }
         if self.upstream.ignores_announcement() {
             return;
         }
@@ -112,6 +118,7 @@
                     upstream: announcement.address.to_string(),
                     fenced: announcement.fenced,
                     instance: announcement.instance.clone(),
+                    born: announcement.born,
                 };
                 self.proposals.propose(now, Purpose::Attach, record::Body::Attach(attach));
             }
--- a/acaciaringd/src/control/proposal.rs
+++ b/acaciaringd/src/control/proposal.rs
@@ -40,6 +40,7 @@
     Evict(MemberId),
     Publish(RecordId),
     Settle,
+    Depart,
 }
 
 /// An open proposal.
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -3,15 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acaciaring_core::holds::{Granted, ReportOutcome, Room, Wanted};
+use acaciaring_core::holds::{Granted, Incarnation, ReportOutcome, Room, Wanted};
 use acaciaring_core::rights::Right;
 use acaciaring_core::state::{Attachment, Member, Service, State};
 use acaciaring_core::{Name, Time, UnitId};
-use acaciaring_schema::settings::UpstreamGrants;
+use acaciaring_schema::settings::Upstream;
 use tokio::sync::oneshot;
 use tracing::{debug, info, warn};
 
 use super::Control;
+use super::departure::{DepartureReply, RECORD_TIMEOUT};
 use super::grant_mode::GrantMode;
 use super::identity::EndReason;
 use super::proposal::Purpose;
@@ -75,13 +76,25 @@
 struct DelayedReply {
     reply: oneshot::Sender<HeartbeatReply>,
     room: Room,
+    since: Time,
     until: Time,
+    /// Departure that the reply acknowledges.
+    departure: Option<Incarnation>,
+}
+
+impl DelayedReply {
+    fn next_change(&self) -> Time {
+        match self.departure {
+            Some(_) => self.until.max(self.since + RECORD_TIMEOUT),
+            None => self.until,
+        }
+    }
 }
 
 impl UpstreamState {
-    pub(super) fn new(now: Time, grants: UpstreamGrants, hold: Duration) -> Self {
+    pub(super) fn new(now: Time, settings: &Upstream) -> Self {
         Self {
-            mode: GrantMode::new(now, grants, hold),
+            mode: GrantMode::new(now, settings.grants, settings.hold),
             has_reported: false,
             leaving: None,
             evacuation: None,
@@ -139,7 +152,7 @@
 
     /// Returns the time of the next timed change.
     pub(super) fn next_change(&self, now: Time) -> Option<Time> {
-        let delayed = self.delayed.as_ref().map(|delayed| delayed.until);
+        let delayed = self.delayed.as_ref().map(DelayedReply::next_change);
         let effect = match &self.mode {
             GrantMode::Heartbeat(holds) => holds.next_effect(now),
             GrantMode::Call(orders) => Some(orders.next_due()),
@@ -177,25 +190,36 @@
     ) {
         let report = self.upstream.mode.report(now, &heartbeat);
         let Heartbeat { announcement, sequence, room, .. } = heartbeat;
-        let (instance, born) = (Name::from(announcement.instance.as_str()), announcement.born);
+        let incarnation = announcement.incarnation();
+        let leaves = announcement.phase == Phase::Draining;
+        if leaves {
+            self.depart(now, incarnation.clone());
+        }
         if report == ReportOutcome::Stale {
-            info!(%instance, born, sequence, "ignoring an outdated heartbeat of the upstream");
-            // The sender may have disconnected.
-            let _ = reply.send(HeartbeatReply::default());
+            info!(%incarnation, sequence, leaves, "ignoring an outdated heartbeat of the upstream");
+            if leaves {
+                let stale = DepartureReply::Heartbeat(reply);
+                self.acknowledge_departure(now, &incarnation, stale);
+            } else {
+                // The sender may have disconnected.
+                let _ = reply.send(HeartbeatReply::default());
+            }
             return;
         }
-        self.upstream.has_reported = true;
         if report == ReportOutcome::NewIncarnation {
-            info!(%instance, born, "the upstream has restarted");
+            info!(%incarnation, "the upstream has restarted");
             self.upstream.leaving = None;
+        } else if !self.upstream.has_reported {
+            info!(%incarnation, sequence, leaves, "first heartbeat of the upstream");
         }
-        if self.attached_to_earlier(&instance) {
+        self.upstream.has_reported = true;
+        if self.attached_to_earlier(&incarnation.instance) {
             self.announced = None;
             self.endpoint = None;
             self.detach(now);
-        } else if announcement.phase == Phase::Draining {
+        } else if self.upstream.mode.incarnations().is_leaving() {
             self.upstream_leaves(now);
-        } else if self.upstream.leaving.is_none() {
+        } else {
             self.on_announcement(now, announcement);
         }
         self.dirty = true;
@@ -203,16 +227,25 @@
         // Only one reply is delayed at a time: one that still has to wait is dropped here, and its
         // sender sends a new heartbeat.
         self.answer_heartbeat(now);
-        self.upstream.delayed = Some(DelayedReply { reply, room, until: now + MAX_REPLY_DELAY });
+        let departure = leaves.then_some(incarnation);
+        let until = now + MAX_REPLY_DELAY;
+        self.upstream.delayed = Some(DelayedReply { reply, room, since: now, until, departure });
         self.answer_heartbeat(now);
     }
 
     /// Sends the delayed reply, once no pending move is about to change it.
     pub(super) fn answer_heartbeat(&mut self, now: Time) {
-        let Some(until) = self.upstream.delayed.as_ref().map(|delayed| delayed.until) else {
+        let Some(delayed) = &self.upstream.delayed else { return };
+        if let Some(incarnation) = &delayed.departure
+            && !self.is_recorded(incarnation)
+        {
+            if now.since(delayed.since) >= RECORD_TIMEOUT {
+                warn!(%incarnation, "departure is not recorded in time, not acknowledging it");
+                self.upstream.delayed = None;
+            }
             return;
-        };
-        if now < until && self.move_pending() {
+        }
+        if now < delayed.until && self.move_pending() {
             return;
         }
         let Some(DelayedReply { reply, room, .. }) = self.upstream.delayed.take() else {
@@ -247,16 +280,7 @@
         })
     }
 
-    /// Handles the notice that the upstream is leaving and stops its heartbeats.
-    pub(super) fn on_upstream_leaves(&mut self, now: Time, instance: &Name) {
-        let present = self.upstream.mode.incarnation();
-        if present.is_none_or(|present| present.instance == *instance) {
-            self.upstream_leaves(now);
-        }
-        self.dirty = true;
-    }
-
-    fn upstream_leaves(&mut self, now: Time) {
+    pub(super) fn upstream_leaves(&mut self, now: Time) {
         if self.upstream.leaving.is_none() {
             info!("the upstream is leaving, moving its units to other members");
             self.upstream.leaving = Some(now);
--- a/acaciaringd/src/control/upstream_state/tests.rs
+++ b/acaciaringd/src/control/upstream_state/tests.rs
@@ -2,16 +2,20 @@
 
 use acaciaring_core::orders::Answer;
 use acaciaring_core::{Token, UnitId};
+use acaciaring_schema::settings::UpstreamGrants;
 
 use super::*;
 
-const HOLD: Duration = Duration::from_secs(3);
+fn settings() -> Upstream {
+    let hold = Duration::from_secs(3);
+    Upstream { grants: UpstreamGrants::Call, hold, ..Upstream::default() }
+}
 
 /// Guards against a view for each of many answered orders, which delays the orders that follow.
 #[test]
 fn answers_that_come_together_call_for_one_view() {
     let at = |millis: u64| Time::from_millis(10_000 + millis);
-    let mut upstream = UpstreamState::new(Time::ZERO, UpstreamGrants::Call, HOLD);
+    let mut upstream = UpstreamState::new(Time::ZERO, &settings());
     let GrantMode::Call(orders) = &mut upstream.mode else { panic!("grants by calls") };
     let wanted = |slot: u32| Wanted {
         unit: UnitId::slot(slot),
@@ -37,7 +41,7 @@
 #[test]
 fn an_unanswered_order_delays_a_view_for_a_short_time() {
     let at = |millis: u64| Time::from_millis(10_000 + millis);
-    let mut upstream = UpstreamState::new(Time::ZERO, UpstreamGrants::Call, HOLD);
+    let mut upstream = UpstreamState::new(Time::ZERO, &settings());
     let GrantMode::Call(orders) = &mut upstream.mode else { panic!("grants by calls") };
     let keys = vec![16..=31];
     let handover = Name::from("");
--- a/acaciaringd/src/gate/mod.rs
+++ b/acaciaringd/src/gate/mod.rs
@@ -330,7 +330,7 @@
             // Nobody waits for the acknowledgement.
             let (reply, _) = oneshot::channel();
             // Fails only when the control thread has ended, before the process exits.
-            let _ = self.events.send(Event::UpstreamLeaves(Name::clone(instance), reply));
+            let _ = self.events.send(Event::UpstreamLeaves(Name::clone(instance), sent, reply));
         }
     }
 
--- a/acaciaringd/src/handler.rs
+++ b/acaciaringd/src/handler.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acaciaring_core::state::Departure;
 use acaciaring_schema::log::{Appended, Batch};
 use acaciaring_schema::peer::{
     Answer, Append, Datagram, Done, Intent, IntentReply, Records, Release, Request, StatusReply,
@@ -69,6 +70,9 @@
             call::Body::Append(append) => self.append(append).await,
             call::Body::Declaration(_) => reply::Body::Declaration(self.declarations.newest()),
             call::Body::Suspects(suspects) => self.quarantine.exchange(clock::now(), &suspects),
+            call::Body::Departure(depart) => {
+                self.notify_control(Event::Departed(Departure::from_record(&depart)))
+            }
             call::Body::Status(_) => reply::Body::Status(self.status()),
             // Answered by the transport, which does not pass them on.
             call::Body::Request(_)
--- a/acaciaringd/src/heartbeat.rs
+++ b/acaciaringd/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::announce::Announcement;
+use crate::clock;
 use crate::control::Event;
 
 /// Heartbeat of the upstream.
@@ -45,16 +46,21 @@
     }
 
     /// Handles a heartbeat; `None` if the reply was dropped or the process is about to exit.
+    ///
+    /// That the upstream leaves is acknowledged only once it is recorded.
     pub async fn report(&self, heartbeat: Heartbeat) -> Option<HeartbeatReply> {
         let (sender, reply) = oneshot::channel();
         self.events.send(Event::Heartbeat(heartbeat, sender)).ok()?;
         reply.await.ok()
     }
 
-    /// Handles the notice that an instance is leaving; `None` when the process is about to exit.
+    /// Handles the notice that an instance is leaving.
+    ///
+    /// Returns `None` if this could not be recorded in time, or if the process is about to exit: a
+    /// process that is started again might not know of it, so it must not be acknowledged.
     pub async fn leaves(&self, instance: Name) -> Option<()> {
         let (sender, reply) = oneshot::channel();
-        self.events.send(Event::UpstreamLeaves(instance, sender)).ok()?;
+        self.events.send(Event::UpstreamLeaves(instance, clock::now(), sender)).ok()?;
         reply.await.ok()
     }
 }
