Take no heartbeats that arrive together for those of a newer upstream

Cause: two heartbeats of another incarnation between any two of the current one were taken for its silence. Now the current one has to be silent for longer than between two of its heartbeats.

--- a/acaciaring_core/src/holds.rs
+++ b/acaciaring_core/src/holds.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Sets the time between two heartbeats of the upstream.
+    #[must_use]
+    pub const fn with_beat(mut self, beat: Duration) -> Self {
+        self.incarnations.set_beat(beat);
+        self
+    }
+
     /// Returns the current incarnation of the upstream.
     #[must_use]
     pub const fn incarnation(&self) -> Option<&Incarnation> {
--- a/acaciaring_core/src/holds/incarnation.rs
+++ b/acaciaring_core/src/holds/incarnation.rs
@@ -9,6 +9,12 @@
 /// Maximum number of former incarnations kept, and of departed ones.
 const MAX_FORMER: usize = 32;
 
+/// Time between two heartbeats of an upstream, unless its settings state another.
+const DEFAULT_BEAT: Duration = Duration::from_millis(500);
+
+/// Beats after which an upstream counts as silent; a running one sends them slightly unevenly.
+const SILENT_BEATS: f64 = 1.1;
+
 /// Incarnation of an upstream: one run of it from start to exit.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Incarnation {
@@ -61,6 +67,8 @@
 /// Current incarnation of the upstream and former ones.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Incarnations {
+    /// Time between two heartbeats.
+    beat: Duration,
     current: Option<Incarnation>,
     sequence: u64,
     former: Vec<Incarnation>,
@@ -79,6 +87,7 @@
     #[must_use]
     pub const fn new(now: Time) -> Self {
         Self {
+            beat: DEFAULT_BEAT,
             current: None,
             sequence: 0,
             former: Vec::new(),
@@ -89,6 +98,11 @@
         }
     }
 
+    /// Sets the time between two heartbeats.
+    pub(crate) const fn set_beat(&mut self, beat: Duration) {
+        self.beat = beat;
+    }
+
     /// Returns the current incarnation.
     #[must_use]
     pub const fn current(&self) -> Option<&Incarnation> {
@@ -148,8 +162,9 @@
     /// Guards against delayed heartbeats of an earlier incarnation at the same address. Taken for a
     /// restart, one would clear the grants of the running incarnation, and this member would pass
     /// on units that are still held. So replaced incarnations are kept, and one under another name
-    /// is accepted only after two heartbeats while the current one was silent. Under the same name,
-    /// the generation decides.
+    /// is accepted only after two heartbeats while the current one was silent for longer than
+    /// between two of its own: delayed ones arrive together. Under the same name, the generation
+    /// decides.
     pub fn report(&mut self, now: Time, incarnation: &Incarnation, sequence: u64) -> ReportOutcome {
         let same = self.current.as_ref() == Some(incarnation);
         if self.is_stale(incarnation) || (same && sequence <= self.sequence) {
@@ -192,7 +207,8 @@
         let known =
             self.candidate.as_ref().filter(|candidate| candidate.incarnation == *incarnation);
         if let Some(known) = known {
-            return sequence > known.sequence && self.last_report < known.since;
+            let silent = now.since(self.last_report) > self.beat.mul_f64(SILENT_BEATS);
+            return sequence > known.sequence && self.last_report < known.since && silent;
         }
         self.candidate = Some(Candidate { incarnation: incarnation.clone(), sequence, since: now });
         false
--- a/acaciaring_core/src/orders.rs
+++ b/acaciaring_core/src/orders.rs
@@ -105,6 +105,13 @@
         }
     }
 
+    /// Sets the time between two heartbeats of the upstream.
+    #[must_use]
+    pub const fn with_beat(mut self, beat: Duration) -> Self {
+        self.incarnations.set_beat(beat);
+        self
+    }
+
     /// Returns the current incarnation of the upstream.
     #[must_use]
     pub const fn incarnation(&self) -> Option<&Incarnation> {
--- a/acaciaring_core/tests/holds.rs
+++ b/acaciaring_core/tests/holds.rs
@@ -314,6 +314,45 @@
     }
 }
 
+/// Guards against delayed reports of a crashed upstream that arrive together between two of its
+/// successor, at a process that never saw the former one.
+#[test]
+fn reports_that_arrive_together_are_not_of_a_newer_upstream() {
+    let mut holds = established().with_beat(REPORT_INTERVAL);
+    let late = incarnation("i-0");
+    for burst in 3..8 {
+        for (delay, sequence) in [(100, 1), (200, 2), (700, 3)] {
+            let report = holds.report(
+                at((burst - 1) * 900 + delay),
+                &late,
+                burst * 10 + sequence,
+                Vec::new(),
+                Vec::new(),
+            );
+            assert_eq!(report, ReportOutcome::Stale);
+            assert!(may_hold(&holds, at((burst - 1) * 900 + delay), 1));
+        }
+        report_and_grant(
+            &mut holds,
+            at(burst * 900),
+            burst + 1,
+            &[held(1, 7)],
+            &[],
+            &[wanted(1, 7)],
+        );
+    }
+}
+
+/// Guards against a successor that is believed later than after its second report.
+#[test]
+fn an_upstream_that_follows_a_crashed_one_is_believed_after_two_reports() {
+    let mut holds = established().with_beat(REPORT_INTERVAL);
+    let next = incarnation("i-2");
+    let first = holds.report(at(2000), &next, 1, Vec::new(), Vec::new());
+    let second = holds.report(at(2900), &next, 2, Vec::new(), Vec::new());
+    assert_eq!((first, second), (ReportOutcome::Stale, ReportOutcome::NewIncarnation));
+}
+
 /// Guards against a departure that is undone by a report from before it, or that ends a restarted
 /// upstream.
 #[test]
--- a/acaciaringd/src/control/grant_mode.rs
+++ b/acaciaringd/src/control/grant_mode.rs
@@ -20,10 +20,10 @@
 }
 
 impl GrantMode {
-    pub(super) fn new(now: Time, grants: UpstreamGrants, hold: Duration) -> Self {
+    pub(super) fn new(now: Time, grants: UpstreamGrants, hold: Duration, beat: Duration) -> Self {
         match grants {
-            UpstreamGrants::Heartbeat => Self::Heartbeat(Holds::new(now, hold)),
-            UpstreamGrants::Call => Self::Call(Orders::new(now, hold)),
+            UpstreamGrants::Heartbeat => Self::Heartbeat(Holds::new(now, hold).with_beat(beat)),
+            UpstreamGrants::Call => Self::Call(Orders::new(now, hold).with_beat(beat)),
         }
     }
 
--- a/acaciaringd/src/control/upstream_state.rs
+++ b/acaciaringd/src/control/upstream_state.rs
@@ -94,7 +94,7 @@
 impl UpstreamState {
     pub(super) fn new(now: Time, settings: &Upstream) -> Self {
         Self {
-            mode: GrantMode::new(now, settings.grants, settings.hold),
+            mode: GrantMode::new(now, settings.grants, settings.hold, settings.beat),
             has_reported: false,
             leaving: None,
             evacuation: None,
