Refuse requests that are complete too late in a stop

Cause: the time for accepting callers bounds connections, not requests, and deadlines took no account of the end of the drain.

--- a/acaciaring_core/src/lib.rs
+++ b/acaciaring_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body_budget;
 pub mod connection_limit;
 pub mod dedup;
+pub mod drain;
 pub mod evacuation;
 pub mod fanout;
 pub mod held_limit;
--- a/acaciaringd/src/daemon/mod.rs
+++ b/acaciaringd/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use acaciaring_core::drain::Drain;
 use acaciaring_core::selector::{Selector, SelectorSettings};
 use acaciaring_schema::settings::Settings;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
@@ -263,10 +264,14 @@
     #[must_use]
     pub fn stop(self) -> usize {
         let start = clock::now();
+        let accepted = MAX_ACCEPT_TIME.min(self.drain / ACCEPT_DIVISOR);
+        let drain = Drain { accepted: start + accepted, end: start + self.drain };
+        // Set once, as a daemon stops once.
+        let _ = self.front.router.shared.drain.set(drain);
         // Control is still running: it ends only after this event.
         let _ = self.events.send(Event::Stop(start));
         // Waits for the handover or until callers must no longer be accepted.
-        let _ = self.released.recv_timeout(MAX_ACCEPT_TIME.min(self.drain / ACCEPT_DIVISOR));
+        let _ = self.released.recv_timeout(accepted);
         let remaining = || self.drain.saturating_sub(clock::now().since(start));
         let cut = self.listeners.drain(remaining());
         self.front.router.log_cut(clock::now());
--- a/acaciaringd/src/router/mod.rs
+++ b/acaciaringd/src/router/mod.rs
@@ -249,7 +249,7 @@
             None => RequestId(rand::rng().random()),
         };
         let timeout = request.deadline.map_or(class.deadline, |asked| asked.min(class.deadline));
-        let deadline = request.received + timeout;
+        let deadline = self.end_with_drain(request.received, request.received + timeout)?;
         let aim = self.aim(&route, &class, &request);
         let received = request.received;
         let label = request.label.clone();
@@ -270,6 +270,13 @@
         })
     }
 
+    /// Returns the deadline of a request, or refuses it if this process would exit before.
+    fn end_with_drain(&self, received: Time, deadline: Time) -> Result<Time, Refusal> {
+        let Some(drain) = self.shared.drain.get() else { return Ok(deadline) };
+        let refused = Refusal::not_run(Reason::Draining).after(drain.end.since(received));
+        drain.deadline(received, deadline).ok_or(refused)
+    }
+
     /// Returns the time by which the latency target is met, counted from the client's first try.
     ///
     /// The time that a client has already waited never counts against a critical request.
--- a/acaciaringd/src/view.rs
+++ b/acaciaringd/src/view.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use acaciaring_core::drain::Drain;
 use acaciaring_core::evacuation::Evacuations;
 use acaciaring_core::route::{Route, Routes};
 use acaciaring_core::state::{Assignment, Member, State};
@@ -159,6 +160,8 @@
     pub(crate) declares: bool,
     /// True once a stop of this process was requested.
     pub(crate) stopping: AtomicBool,
+    /// Times of the stop, once it has begun.
+    pub(crate) drain: OnceLock<Drain>,
     /// True while other members pass records of the log on to this one.
     pub(crate) passed: AtomicBool,
     /// Number of members that read the log service; 0 before this member has joined.
