--- a/acaciaringd/src/control/departure.rs
+++ b/acaciaringd/src/control/departure.rs
@@ -12,12 +12,12 @@
 use acaciaring_core::state::{Attachment, Departure, Member};
 use acaciaring_core::{MemberId, Name, Time};
 use acaciaring_schema::log::record;
-use acaciaring_schema::peer::call;
+use acaciaring_schema::peer::{call, reply};
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
 use super::proposal::Purpose;
-use super::{Control, Event};
+use super::{Control, ControlContext, Event};
 use crate::heartbeat::HeartbeatReply;
 use crate::view::peer_address;
 use crate::wire;
@@ -70,6 +70,41 @@
     replies: Vec<(Time, DepartureReply)>,
 }
 
+impl Pending {
+    /// Acknowledges the departure if another member keeps it, and drops replies that are too late.
+    fn answer(&mut self, now: Time) {
+        if self.kept {
+            for (_, reply) in self.replies.drain(..) {
+                reply.send();
+            }
+        }
+        let late = |(since, _): &mut (Time, _)| now.since(*since) >= RECORD_TIMEOUT;
+        for _ in self.replies.extract_if(.., late) {
+            let upstream = &self.departure.incarnation;
+            warn!(%upstream, "departure is not recorded in time, not acknowledging it");
+        }
+    }
+
+    /// Returns true if other members are to be told now.
+    fn is_telling_due(&self, now: Time) -> bool {
+        let due = self.told.map_or(self.since + TELL_DELAY, |told| told + TELL_INTERVAL);
+        !self.kept && now >= due
+    }
+}
+
+/// Tells another member of a departure, which it then keeps.
+fn tell(context: &ControlContext, to: SocketAddr, departure: &Departure) {
+    let (events, departure) = (context.events.clone(), departure.clone());
+    let call = call::Body::Departure(departure.to_record());
+    let done = move |reply: Option<reply::Body>| {
+        if wire::accepted(reply.as_ref()) {
+            // The control thread may have ended.
+            let _ = events.send(Event::DepartureKept(departure));
+        }
+    };
+    context.outbox.call(to, call, wire::CALL_TIMEOUT, Box::new(done));
+}
+
 /// Departures that the log has not recorded yet, oldest first.
 #[derive(Debug, Default)]
 pub(super) struct Departures(Vec<Pending>);
@@ -197,7 +232,9 @@
             let Pending { departure, since, replies, .. } = pending;
             let after_ms = wire::millis(now.since(since));
             info!(vm = %departure.vm, upstream = %departure.incarnation, after_ms, "departure recorded");
-            replies.into_iter().for_each(|(_, reply)| reply.send());
+            for (_, reply) in replies {
+                reply.send();
+            }
         }
     }
 
@@ -208,33 +245,16 @@
             let depart = next.departure.to_record();
             self.proposals.propose(now, Purpose::Depart, record::Body::Depart(depart));
         }
-        let recipients = self.departure_recipients();
         for pending in &mut self.departures.0 {
-            if pending.kept {
-                pending.replies.drain(..).for_each(|(_, reply)| reply.send());
-                continue;
-            }
-            let late = |(since, _): &mut (Time, _)| now.since(*since) >= RECORD_TIMEOUT;
-            for _ in pending.replies.extract_if(.., late) {
-                let upstream = &pending.departure.incarnation;
-                warn!(%upstream, "departure is not recorded in time, not acknowledging it");
-            }
-            let due = pending.told.map_or(pending.since + TELL_DELAY, |told| told + TELL_INTERVAL);
-            let local = *pending.departure.vm == *self.context.location.vm;
-            if !local || now < due {
-                continue;
-            }
+            pending.answer(now);
+        }
+        let recipients = self.departure_recipients();
+        let vm = &self.context.location.vm;
+        let local = self.departures.0.iter_mut().filter(|pending| *pending.departure.vm == **vm);
+        for pending in local.filter(|pending| pending.is_telling_due(now)) {
             pending.told = Some(now);
             for to in &recipients {
-                let (events, departure) = (self.context.events.clone(), pending.departure.clone());
-                let call = call::Body::Departure(departure.to_record());
-                let done = move |reply| {
-                    if wire::accepted(Option::as_ref(&reply)) {
-                        // The control thread may have ended.
-                        let _ = events.send(Event::DepartureKept(departure));
-                    }
-                };
-                self.context.outbox.call(*to, call, wire::CALL_TIMEOUT, Box::new(done));
+                tell(&self.context, *to, &pending.departure);
             }
         }
     }
